--- /dev/null
+++ b/src/libperidotreach/cell_grants.cc
@@ -0,0 +1,253 @@
+#include "libperidotreach/cell_grants.h"
+
+#include <algorithm>
+
+#include "libperidotreach/admission.h"
+#include "libperidotreach/placement.h"
+#include "libperidotreach/rank_order.h"
+
+namespace peridotreach {
+namespace {
+
+// The most grants that one event may cause.
+constexpr int kMostGrants = 256;
+
+// Extra time for an entry's report on a grant before it counts as unspent.
+constexpr Millis kGrantReportSlack = 1500;
+
+// Weight of one tick in the smoothed grant rate.
+constexpr double kRateWeight = 0.15;
+
+// Decay of the memory margin in a tick without preemptions, and its least.
+constexpr double kMarginDecay = 0.998;
+constexpr double kLeastMargin = 0.7;
+
+// A rank that may be served, with its queue.
+struct Candidate {
+  const RankPolicy* policy;
+  RankQueue* queue;
+};
+
+std::vector<Candidate> candidates_of(CellState& cell,
+                                     const FleetConfig& config) {
+  std::vector<Candidate> candidates;
+  for (const RankPolicy& policy : config.ranks) {
+    const auto queue = cell.ranks.find(policy.id);
+    if (queue == cell.ranks.end()) continue;
+    candidates.push_back({&policy, &queue->second});
+  }
+  return candidates;
+}
+
+std::vector<RankDemand> demands_of(const std::vector<Candidate>& candidates) {
+  std::vector<RankDemand> demands;
+  for (const Candidate& candidate : candidates) {
+    const RankQueue& queue = *candidate.queue;
+    demands.push_back({candidate.policy->order, candidate.policy->floor,
+                       queue.window_tokens, queue.running, queue.waiting > 0});
+  }
+  return demands;
+}
+
+bool at_running_limit(const RankQueue& queue, const FleetConfig& config,
+                      const std::string& caller) {
+  const CallerPolicy* policy = find_caller(config, caller);
+  if (policy == nullptr || policy->max_running == 0) return false;
+  const auto running = queue.running_by_caller.find(caller);
+  return running != queue.running_by_caller.end() &&
+         running->second >= policy->max_running;
+}
+
+std::vector<std::string> waiting_callers(const RankQueue& queue,
+                                         const FleetConfig& config) {
+  std::vector<std::string> callers;
+  for (const auto& [caller, items] : queue.by_caller) {
+    if (items.empty()) continue;
+    if (at_running_limit(queue, config, caller)) continue;
+    callers.push_back(caller);
+  }
+  return callers;
+}
+
+void grant_front(CellState& cell, const CellContext& context, RankQueue& queue,
+                 const std::string& caller, const PlacementChoice& choice) {
+  auto& items = queue.by_caller[caller];
+  const QueuedRequest item = items.front();
+  items.pop_front();
+  queue.waiting -= 1;
+  queue.grants_since_tick += 1;
+  note_start(queue.counters, caller);
+  start_running(cell, context, item, choice.endpoint);
+  EndpointHealth& health = cell.endpoints.at(choice.endpoint).health;
+  if (choice.reason == GrantReason::kProbe) health.probing = true;
+  context.effects.emplace_back(
+      IssueGrant{item.key, choice.endpoint, kGrantLife, choice.reason});
+}
+
+// Takes back the latest grant of a less urgent rank none of whose tokens was
+// delivered, on an endpoint that could serve `item`.
+bool withdraw_for(CellState& cell, const CellContext& context,
+                  const QueuedRequest& item, std::uint32_t order) {
+  RunningRequest* victim = nullptr;
+  std::uint32_t victim_order = order;
+  for (auto& [key, request] : cell.running) {
+    if (request.started || request.withdrawn) continue;
+    const RankPolicy* rank = find_rank(context.config, request.item.rank);
+    if (rank == nullptr || rank->order <= victim_order) continue;
+    const auto endpoint = cell.endpoints.find(request.endpoint);
+    if (endpoint == cell.endpoints.end()) continue;
+    if (!may_serve(endpoint->second, item, context.now)) continue;
+    victim = &request;
+    victim_order = rank->order;
+  }
+  if (victim == nullptr) return false;
+  victim->withdrawn = true;
+  context.effects.emplace_back(IssueWithdrawal{victim->item.key});
+  return true;
+}
+
+bool grant_from_rank(CellState& cell, const CellContext& context,
+                     const Candidate& candidate, bool floor_first) {
+  RankQueue& queue = *candidate.queue;
+  const std::string caller =
+      next_caller(queue.counters, waiting_callers(queue, context.config));
+  if (caller.empty()) return false;
+  const QueuedRequest& item = queue.by_caller[caller].front();
+  PlacementLimits limits = placement_limits(context.config, *candidate.policy);
+  // A rank below its floor is owed slots that headroom may not withhold.
+  if (floor_first) limits.slot_share = 1;
+  PlacementChoice choice = place(cell, item, limits, context.now);
+  if (choice.endpoint.empty()) {
+    queue.contended_at = context.now;
+    return false;
+  }
+  if (floor_first && choice.reason == GrantReason::kRankOrder) {
+    choice.reason = GrantReason::kFloor;
+  }
+  grant_front(cell, context, queue, caller, choice);
+  return true;
+}
+
+// The rank first in order, if nothing of it fits, may take a grant back from
+// a less urgent one.
+void withdraw_for_first(CellState& cell, const CellContext& context,
+                        const Candidate& first) {
+  const std::string caller = next_caller(
+      first.queue->counters, waiting_callers(*first.queue, context.config));
+  if (caller.empty()) return;
+  const QueuedRequest item = first.queue->by_caller[caller].front();
+  const bool pending =
+      std::any_of(cell.running.begin(), cell.running.end(),
+                  [](const auto& entry) { return entry.second.withdrawn; });
+  if (pending) return;
+  withdraw_for(cell, context, item, first.policy->order);
+}
+
+bool grant_one(CellState& cell, const CellContext& context) {
+  const std::vector<Candidate> candidates = candidates_of(cell, context.config);
+  const std::vector<RankDemand> demands = demands_of(candidates);
+  double total_tokens = 0;
+  double total_running = 0;
+  for (const RankDemand& demand : demands) {
+    total_tokens += demand.window_tokens;
+    total_running += demand.running;
+  }
+  const std::vector<std::size_t> order = rank_order(demands);
+  for (const std::size_t index : order) {
+    const bool floor_first =
+        below_floor(demands[index], total_tokens, total_running);
+    if (grant_from_rank(cell, context, candidates[index], floor_first)) {
+      return true;
+    }
+  }
+  if (!order.empty()) {
+    withdraw_for_first(cell, context, candidates[order.front()]);
+  }
+  return false;
+}
+
+// The baseline serves all requests in order of arrival.
+bool grant_first_come(CellState& cell, const CellContext& context) {
+  RankQueue* first_queue = nullptr;
+  std::string first_caller;
+  Millis first_at = 0;
+  for (auto& [rank, queue] : cell.ranks) {
+    for (const auto& [caller, items] : queue.by_caller) {
+      if (items.empty()) continue;
+      const Millis at = items.front().queued_at;
+      if (first_queue != nullptr && at >= first_at) continue;
+      first_queue = &queue;
+      first_caller = caller;
+      first_at = at;
+    }
+  }
+  if (first_queue == nullptr) return false;
+  const QueuedRequest& item = first_queue->by_caller[first_caller].front();
+  const PlacementChoice choice =
+      place_least_connections(cell, item, context.now);
+  if (choice.endpoint.empty()) return false;
+  grant_front(cell, context, *first_queue, first_caller, choice);
+  return true;
+}
+
+void refuse_late(CellState& cell, const CellContext& context) {
+  for (auto& [rank, queue] : cell.ranks) {
+    for (auto& [caller, items] : queue.by_caller) {
+      const auto late = [&](const QueuedRequest& item) {
+        const AdmissionVerdict verdict =
+            keep_waiting(cell, context.config, item, context.now);
+        if (verdict.kind == RefusalKind::kNone) return false;
+        context.effects.emplace_back(
+            IssueRefusal{item.key, verdict.kind, verdict.retry_after});
+        return true;
+      };
+      queue.waiting -= std::erase_if(items, late);
+    }
+  }
+}
+
+void void_unspent(CellState& cell, const CellContext& context) {
+  std::vector<RequestKey> unspent;
+  for (const auto& [key, request] : cell.running) {
+    if (request.started || request.progress_at > request.granted_at) continue;
+    if (context.now - request.granted_at < kGrantLife + kGrantReportSlack) {
+      continue;
+    }
+    unspent.push_back(key);
+  }
+  for (const RequestKey& key : unspent) {
+    stop_running(cell, context.config, key);
+  }
+}
+
+}  // namespace
+
+void issue_grants(CellState& cell, const CellContext& context) {
+  for (int i = 0; i < kMostGrants; ++i) {
+    const bool granted = context.baseline ? grant_first_come(cell, context)
+                                          : grant_one(cell, context);
+    if (!granted) return;
+  }
+}
+
+void expire_requests(CellState& cell, const CellContext& context) {
+  refuse_late(cell, context);
+  void_unspent(cell, context);
+  expire_suspects(cell.quarantine, context.now);
+}
+
+void advance_cell(CellState& cell, const CellContext& context, Millis elapsed) {
+  if (elapsed <= 0) return;
+  for (auto& [rank, queue] : cell.ranks) {
+    queue.window_tokens = decayed_window(queue.window_tokens, elapsed);
+    const double rate =
+        queue.grants_since_tick * kSecond / static_cast<double>(elapsed);
+    queue.grant_rate += kRateWeight * (rate - queue.grant_rate);
+    queue.grants_since_tick = 0;
+  }
+  cell.memory_margin =
+      std::max(kLeastMargin, cell.memory_margin * kMarginDecay);
+  if (!cell.running.empty()) cell.used_at = context.now;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/cell_queue.cc
@@ -0,0 +1,209 @@
+#include "libperidotreach/cell_queue.h"
+
+#include <algorithm>
+
+#include "libperidotreach/admission.h"
+
+namespace peridotreach {
+namespace {
+
+// Cost of a prompt token beside an output token.
+constexpr double kPromptCost = 0.1;
+
+double share_of(const FleetConfig& config, const std::string& caller) {
+  const CallerPolicy* policy = find_caller(config, caller);
+  return policy == nullptr ? 1 : policy->share;
+}
+
+bool is_waiting(const CellState& cell, const RequestKey& key) {
+  for (const auto& [rank, queue] : cell.ranks) {
+    for (const auto& [caller, items] : queue.by_caller) {
+      const bool found =
+          std::any_of(items.begin(), items.end(),
+                      [&](const auto& item) { return item.key == key; });
+      if (found) return true;
+    }
+  }
+  return false;
+}
+
+// Charges tokens that were produced since the last report.
+void charge_progress(CellState& cell, const FleetConfig& config,
+                     RunningRequest& request, double produced) {
+  const double fresh = produced - request.produced;
+  if (fresh <= 0) return;
+  RankQueue& queue = cell.ranks[request.item.rank];
+  queue.window_tokens += fresh;
+  request.produced = produced;
+  const double beyond = produced - request.charged;
+  if (beyond <= 0) return;
+  charge(queue.counters, request.item.caller, beyond,
+         share_of(config, request.item.caller));
+  request.charged = produced;
+}
+
+void refuse(const CellContext& context, const RequestKey& key,
+            const AdmissionVerdict& verdict) {
+  context.effects.emplace_back(
+      IssueRefusal{key, verdict.kind, verdict.retry_after});
+}
+
+void finish(CellState& cell, const CellContext& context,
+            const RunProgress& progress) {
+  const auto found = cell.running.find(progress.item.key);
+  if (found == cell.running.end()) return;
+  RunningRequest& request = found->second;
+  charge_progress(cell, context.config, request, progress.produced);
+  if (progress.state == RunState::kFinished) {
+    observe_length(cell.lengths, request.item.rank, request.item.caller,
+                   progress.produced);
+    note_finished(cell.quarantine, request.item.fingerprint);
+    const auto endpoint = cell.endpoints.find(request.endpoint);
+    if (endpoint != cell.endpoints.end()) {
+      note_success(endpoint->second.health);
+    }
+  }
+  if (progress.state == RunState::kLost) {
+    const auto endpoint = cell.endpoints.find(request.endpoint);
+    if (endpoint != cell.endpoints.end()) {
+      eject(endpoint->second.health, context.now);
+    }
+  }
+  stop_running(cell, context.config, progress.item.key);
+}
+
+}  // namespace
+
+void enqueue(CellState& cell, const CellContext& context,
+             const QueuedRequest& item) {
+  if (is_waiting(cell, item.key)) return;
+  if (cell.running.contains(item.key)) {
+    // The entry gave the grant up; its request waits again.
+    stop_running(cell, context.config, item.key);
+  }
+  if (!context.baseline) {
+    if (deaths_of(cell.quarantine, item.fingerprint, context.now) >=
+        kQuarantineDeaths) {
+      refuse(context, item.key, {RefusalKind::kQuarantined, kSuspicionLife});
+      return;
+    }
+    const AdmissionVerdict verdict =
+        admit(cell, context.config, item, context.now);
+    if (verdict.kind != RefusalKind::kNone) {
+      refuse(context, item.key, verdict);
+      return;
+    }
+  }
+  RankQueue& queue = cell.ranks[item.rank];
+  auto& own = queue.by_caller[item.caller];
+  const auto running = queue.running_by_caller.find(item.caller);
+  const bool idle = own.empty() && (running == queue.running_by_caller.end() ||
+                                    running->second == 0);
+  if (idle) lift(queue.counters, item.caller);
+  const bool earlier = !own.empty() && item.queued_at < own.front().queued_at;
+  if (earlier) {
+    own.push_front(item);
+  } else {
+    own.push_back(item);
+  }
+  queue.waiting += 1;
+}
+
+bool remove_waiting(CellState& cell, const RequestKey& key) {
+  for (auto& [rank, queue] : cell.ranks) {
+    for (auto& [caller, items] : queue.by_caller) {
+      const auto found =
+          std::find_if(items.begin(), items.end(),
+                       [&](const auto& item) { return item.key == key; });
+      if (found == items.end()) continue;
+      items.erase(found);
+      queue.waiting -= 1;
+      return true;
+    }
+  }
+  return false;
+}
+
+void apply_progress(CellState& cell, const CellContext& context,
+                    const RunProgress& progress) {
+  const bool ended = progress.state == RunState::kFinished ||
+                     progress.state == RunState::kLost ||
+                     progress.state == RunState::kCancelled;
+  if (ended) {
+    finish(cell, context, progress);
+    return;
+  }
+  auto found = cell.running.find(progress.item.key);
+  if (found == cell.running.end()) {
+    remove_waiting(cell, progress.item.key);
+    start_running(cell, context, progress.item, progress.endpoint);
+    found = cell.running.find(progress.item.key);
+  }
+  RunningRequest& request = found->second;
+  charge_progress(cell, context.config, request, progress.produced);
+  request.started = request.started || progress.state == RunState::kStarted;
+  request.progress_at = context.now;
+}
+
+void start_running(CellState& cell, const CellContext& context,
+                   const QueuedRequest& item, const std::string& endpoint) {
+  RunningRequest request;
+  request.item = item;
+  request.endpoint = endpoint;
+  request.granted_at = context.now;
+  request.progress_at = context.now;
+  request.curve = survival_curve(cell.lengths, item.rank, item.caller);
+  RankQueue& queue = cell.ranks[item.rank];
+  request.charged = mean_remaining(request.curve, 0);
+  charge(queue.counters, item.caller,
+         request.charged + kPromptCost * item.prompt_tokens,
+         share_of(context.config, item.caller));
+  queue.running += 1;
+  queue.running_by_caller[item.caller] += 1;
+  const auto target = cell.endpoints.find(endpoint);
+  if (target != cell.endpoints.end()) {
+    target->second.running.insert(item.key);
+    add_generation(target->second.projection, request.curve, item.prompt_tokens,
+                   0);
+  }
+  cell.running.emplace(item.key, std::move(request));
+}
+
+void stop_running(CellState& cell, const FleetConfig& config,
+                  const RequestKey& key) {
+  const auto found = cell.running.find(key);
+  if (found == cell.running.end()) return;
+  const RunningRequest& request = found->second;
+  RankQueue& queue = cell.ranks[request.item.rank];
+  charge(queue.counters, request.item.caller,
+         request.produced - request.charged,
+         share_of(config, request.item.caller));
+  queue.running -= 1;
+  queue.running_by_caller[request.item.caller] -= 1;
+  const auto endpoint = cell.endpoints.find(request.endpoint);
+  if (endpoint != cell.endpoints.end()) {
+    endpoint->second.running.erase(key);
+    endpoint->second.projected_at = -1;
+  }
+  cell.running.erase(found);
+}
+
+void forget_entry(CellState& cell, const FleetConfig& config,
+                  const std::string& vm, std::uint64_t keep_incarnation) {
+  const auto stale = [&](const RequestKey& key) {
+    return key.vm == vm && key.incarnation != keep_incarnation;
+  };
+  for (auto& [rank, queue] : cell.ranks) {
+    for (auto& [caller, items] : queue.by_caller) {
+      queue.waiting -= std::erase_if(
+          items, [&](const auto& item) { return stale(item.key); });
+    }
+  }
+  std::vector<RequestKey> running;
+  for (const auto& [key, request] : cell.running) {
+    if (stale(key)) running.push_back(key);
+  }
+  for (const RequestKey& key : running) stop_running(cell, config, key);
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/dispatch_effect.h
@@ -0,0 +1,106 @@
+#pragma once
+
+// Effects of the dispatch reducer.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "libperidotreach/refusal_kind.h"
+#include "libperidotreach/request_key.h"
+#include "libperidotreach/time.h"
+#include "libperidotreach/variant_inspect.h"
+
+namespace peridotreach {
+
+// Why a grant went to a request and an endpoint.
+enum class GrantReason : std::uint8_t {
+  kRankOrder = 0,
+  kFloor = 1,
+  kCacheHit = 2,
+  kProbe = 3,
+  kBaseline = 4,
+};
+
+// Tells an entry to run a request on an endpoint within `valid_for`.
+struct IssueGrant {
+  RequestKey key;
+  std::string endpoint;
+  Millis valid_for = 0;
+  GrantReason reason = GrantReason::kRankOrder;
+
+  bool operator==(const IssueGrant&) const = default;
+};
+
+// Tells an entry that a queued request is refused; it did not run.
+struct IssueRefusal {
+  RequestKey key;
+  RefusalKind kind = RefusalKind::kNone;
+  Millis retry_after = 0;
+
+  bool operator==(const IssueRefusal&) const = default;
+};
+
+// Takes a grant back if none of its tokens was delivered.
+struct IssueWithdrawal {
+  RequestKey key;
+
+  bool operator==(const IssueWithdrawal&) const = default;
+};
+
+// Asks an entry for a full report.
+struct RequestFullReport {
+  std::string vm;
+
+  bool operator==(const RequestFullReport&) const = default;
+};
+
+// Starts receiving load and cache events of an endpoint.
+struct WatchEndpoint {
+  std::string endpoint;
+  std::string address;
+  std::uint32_t port = 0;
+
+  bool operator==(const WatchEndpoint&) const = default;
+};
+
+// Stops receiving them.
+struct UnwatchEndpoint {
+  std::string endpoint;
+
+  bool operator==(const UnwatchEndpoint&) const = default;
+};
+
+using DispatchEffect =
+    std::variant<IssueGrant, IssueRefusal, IssueWithdrawal, RequestFullReport,
+                 WatchEndpoint, UnwatchEndpoint>;
+
+// Returns the name that explanations use.
+const char* grant_reason_name(GrantReason reason);
+
+template <class F>
+auto inspect(F& f, IssueGrant& x) {
+  return f(x.key, x.endpoint, x.valid_for, x.reason);
+}
+template <class F>
+auto inspect(F& f, IssueRefusal& x) {
+  return f(x.key, x.kind, x.retry_after);
+}
+template <class F>
+auto inspect(F& f, IssueWithdrawal& x) {
+  return f(x.key);
+}
+template <class F>
+auto inspect(F& f, RequestFullReport& x) {
+  return f(x.vm);
+}
+template <class F>
+auto inspect(F& f, WatchEndpoint& x) {
+  return f(x.endpoint, x.address, x.port);
+}
+template <class F>
+auto inspect(F& f, UnwatchEndpoint& x) {
+  return f(x.endpoint);
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/dispatch_state.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// State of the dispatch reducer.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "libperidotreach/cell_state.h"
+#include "libperidotreach/fleet_config.h"
+#include "libperidotreach/fleet_view.h"
+
+namespace peridotreach {
+
+// How requests are ordered and placed.
+enum class DispatchPolicy : std::uint8_t {
+  // Ranks, floors, shares, projected memory.
+  kFull = 0,
+  // Least connections, first come first served, no prediction.
+  kBaseline = 1,
+};
+
+// An entry as a dispatcher knows it.
+struct KnownEntry {
+  std::uint64_t incarnation = 0;
+  Millis heard_at = 0;
+};
+
+// All state of one dispatch process.
+struct DispatchState {
+  std::string vm;
+  DispatchPolicy policy = DispatchPolicy::kFull;
+  FleetConfig config;
+  FleetView view;
+  std::map<std::string, CellState> cells;
+  std::map<std::string, KnownEntry> entries;
+  Millis now = 0;
+  Millis ticked_at = 0;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/entry_calls.cc
@@ -0,0 +1,308 @@
+#include "libperidotreach/entry_calls.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace peridotreach {
+namespace {
+
+// Outcomes of claimed calls remembered in memory.
+constexpr std::size_t kMostClaimed = 4096;
+
+// Wait suggested to a caller whose call arrives during a hand-over.
+constexpr Millis kHandOverRetry = 200;
+
+using ClaimName = std::pair<std::string, std::string>;
+
+CallOutcome refusal(RefusalKind kind, Ran ran) {
+  CallOutcome outcome;
+  outcome.ran = ran;
+  outcome.kind = kind;
+  outcome.status = refusal_status(kind);
+  return outcome;
+}
+
+// Answers the call of `request` and forgets it.
+void answer(const EntryContext& context, std::uint64_t request,
+            const CallOutcome& outcome, Millis retry_after = 0) {
+  const auto found = context.state.calls.find(request);
+  if (found == context.state.calls.end()) return;
+  const Call& call = found->second;
+  if (outcome.kind != RefusalKind::kNone) {
+    count_refusal(context,
+                  {call.caller, call.rank, call.service, outcome.kind});
+  }
+  explain(context, request, "answered",
+          std::string(refusal_name(outcome.kind)) + " ran " +
+              ran_name(outcome.ran));
+  context.effects.emplace_back(AnswerCall{request, outcome, retry_after});
+  context.state.calls.erase(found);
+}
+
+std::size_t running_calls(const EntryState& state,
+                          const std::string& endpoint) {
+  return static_cast<std::size_t>(std::count_if(
+      state.calls.begin(), state.calls.end(),
+      [&](const auto& entry) { return entry.second.endpoint == endpoint; }));
+}
+
+// Returns the untried endpoint with the fewest calls of this process, in this
+// zone if equal.
+std::string choose_endpoint(EntryState& state, const Call& call) {
+  std::string best;
+  double best_cost = std::numeric_limits<double>::max();
+  state.call_turn += 1;
+  const std::size_t count =
+      std::max<std::size_t>(1, state.view.endpoints.size());
+  for (std::size_t i = 0; i < state.view.endpoints.size(); ++i) {
+    const std::size_t index = (i + state.call_turn) % count;
+    const EndpointInfo& endpoint = state.view.endpoints[index];
+    if (endpoint.service != call.service || endpoint.leaving) continue;
+    if (call.tried.contains(endpoint.id)) continue;
+    if (is_drained(state.config, endpoint.id)) continue;
+    constexpr double kOtherZoneCost = 0.5;
+    const bool far = endpoint.zone != state.self.zone;
+    const double cost = static_cast<double>(running_calls(state, endpoint.id)) +
+                        (far ? kOtherZoneCost : 0);
+    if (cost >= best_cost) continue;
+    best = endpoint.id;
+    best_cost = cost;
+  }
+  return best;
+}
+
+// Settles the call's number or key so that it may be sent again.
+void settle(const EntryContext& context, const Call& call,
+            const CallOutcome& outcome) {
+  EntryState& state = context.state;
+  if (call.session != 0) {
+    const auto table = state.sessions.find(call.home);
+    if (table != state.sessions.end()) {
+      end_call(table->second, call.session, call.number, outcome);
+    }
+  }
+  if (call.claim_key.empty()) return;
+  const ClaimName name{call.caller, call.claim_key};
+  if (outcome.ran == Ran::kNo) {
+    state.claimed.erase(name);
+    return;
+  }
+  state.claimed[name] = {true, outcome};
+}
+
+void forward(const EntryContext& context, std::uint64_t request) {
+  Call& call = context.state.calls.at(request);
+  call.endpoint = choose_endpoint(context.state, call);
+  if (call.endpoint.empty()) {
+    const CallOutcome outcome = refusal(RefusalKind::kNoEndpoint, Ran::kNo);
+    settle(context, call, outcome);
+    answer(context, request, outcome, kSecond);
+    return;
+  }
+  const ServicePolicy* service =
+      find_service(context.state.config, call.service);
+  const Millis timeout =
+      service == nullptr ? 30 * kSecond : service->request_timeout;
+  explain(context, request, "forwarded", call.endpoint);
+  context.effects.emplace_back(ForwardCall{request, call.endpoint, timeout});
+}
+
+// Executes, replays or refuses a call of a session held here.
+void run_in_session(const EntryContext& context, std::uint64_t request) {
+  EntryState& state = context.state;
+  const Call& call = state.calls.at(request);
+  const CallVerdict verdict =
+      begin_call(state.sessions.at(call.home), call.session, call.caller,
+                 call.number, state.now);
+  switch (verdict.action) {
+    case CallAction::kExecute:
+      forward(context, request);
+      return;
+    case CallAction::kReplay:
+      explain(context, request, "replayed");
+      answer(context, request, verdict.outcome);
+      return;
+    case CallAction::kInProgress:
+      answer(context, request, refusal(RefusalKind::kTimedOut, Ran::kUnknown),
+             kHandOverRetry);
+      return;
+    case CallAction::kEnded:
+    case CallAction::kForgotten:
+      answer(context, request,
+             refusal(RefusalKind::kSessionEnded, Ran::kUnknown));
+      return;
+  }
+}
+
+// Sends a call on to the VM that holds its session, or says that none does.
+void send_home(const EntryContext& context, std::uint64_t request,
+               bool first_attempt) {
+  EntryState& state = context.state;
+  Call& call = state.calls.at(request);
+  std::string holder =
+      successor_of(state.view, call.home.first, call.home.second);
+  if (holder.empty()) {
+    const VmInfo* home = find_vm(state.view, call.home.first);
+    if (home != nullptr && home->incarnation == call.home.second) {
+      holder = home->vm;
+    }
+  }
+  if (holder == state.self.vm) {
+    // The record says that the sessions come here; they have not arrived.
+    answer(context, request, refusal(RefusalKind::kStopping, Ran::kNo),
+           kHandOverRetry);
+    return;
+  }
+  if (!holder.empty()) {
+    call.forwarded_home = true;
+    explain(context, request, "sent_home", holder);
+    context.effects.emplace_back(ForwardToHome{request, holder});
+    return;
+  }
+  // The home is gone. Whether an earlier attempt ran cannot be known.
+  const Ran ran = first_attempt ? Ran::kNo : Ran::kUnknown;
+  answer(context, request, refusal(RefusalKind::kSessionEnded, ran));
+}
+
+void start_in_session(const EntryContext& context, const CallRequested& event) {
+  EntryState& state = context.state;
+  const Call& call = state.calls.at(event.request);
+  if (!state.sessions.contains(call.home)) {
+    send_home(context, event.request, event.first_attempt);
+    return;
+  }
+  const bool handing = state.stop == StopStage::kHandingOver &&
+                       state.to_hand_over.contains(call.home);
+  if (handing) {
+    answer(context, event.request, refusal(RefusalKind::kStopping, Ran::kNo),
+           kHandOverRetry);
+    return;
+  }
+  run_in_session(context, event.request);
+}
+
+void trim_claimed(EntryState& state) {
+  while (state.claimed.size() > kMostClaimed) {
+    const auto done =
+        std::find_if(state.claimed.begin(), state.claimed.end(),
+                     [](const auto& entry) { return entry.second.done; });
+    if (done == state.claimed.end()) return;
+    state.claimed.erase(done);
+  }
+}
+
+}  // namespace
+
+void on_call(const EntryContext& context, const CallRequested& event) {
+  EntryState& state = context.state;
+  Call call;
+  call.caller = event.caller;
+  call.rank = event.rank;
+  call.service = event.service;
+  call.repeatable = event.repeatable;
+  if (!event.repeatable) {
+    call.session = event.session;
+    call.number = event.number;
+    call.home = {event.home, event.home_incarnation};
+    if (event.session == 0) call.claim_key = event.idempotency_key;
+  }
+  state.calls.emplace(event.request, std::move(call));
+  const Call& stored = state.calls.at(event.request);
+  if (stored.session != 0) {
+    start_in_session(context, event);
+    return;
+  }
+  if (!stored.claim_key.empty()) {
+    context.effects.emplace_back(
+        ClaimKey{event.request, event.caller, stored.claim_key});
+    return;
+  }
+  forward(context, event.request);
+}
+
+void on_claim(const EntryContext& context, const ClaimAnswered& event) {
+  EntryState& state = context.state;
+  const auto found = state.calls.find(event.request);
+  if (found == state.calls.end()) return;
+  const ClaimName name{found->second.caller, found->second.claim_key};
+  if (event.result == ClaimResult::kUnavailable) {
+    answer(context, event.request,
+           refusal(RefusalKind::kStoreUnavailable, Ran::kNo), kSecond);
+    return;
+  }
+  const auto record = state.claimed.find(name);
+  const bool known = record != state.claimed.end();
+  if (known && record->second.done) {
+    explain(context, event.request, "replayed");
+    answer(context, event.request, record->second.outcome);
+    return;
+  }
+  if (known) {
+    answer(context, event.request,
+           refusal(RefusalKind::kTimedOut, Ran::kUnknown), kHandOverRetry);
+    return;
+  }
+  // A claim of this incarnation without a record here was never executed.
+  const bool own = event.result == ClaimResult::kWon || event.owned_here;
+  if (!own) {
+    answer(context, event.request,
+           refusal(RefusalKind::kSessionEnded, Ran::kUnknown));
+    return;
+  }
+  state.claimed[name] = {};
+  trim_claimed(state);
+  forward(context, event.request);
+}
+
+void on_call_ended(const EntryContext& context, const CallEnded& event) {
+  EntryState& state = context.state;
+  const auto found = state.calls.find(event.request);
+  if (found == state.calls.end()) return;
+  Call& call = found->second;
+  if (call.forwarded_home) {
+    answer(context, event.request, event.outcome);
+    return;
+  }
+  if (event.answered) {
+    settle(context, call, event.outcome);
+    answer(context, event.request, event.outcome);
+    return;
+  }
+  call.tried.insert(call.endpoint);
+  const bool may_repeat = !event.sent || call.repeatable;
+  if (may_repeat && take_retry(state.retries)) {
+    explain(context, event.request, "retry", call.endpoint);
+    forward(context, event.request);
+    return;
+  }
+  const Ran ran = event.sent ? Ran::kUnknown : Ran::kNo;
+  const RefusalKind kind =
+      event.sent ? RefusalKind::kTimedOut : RefusalKind::kNoEndpoint;
+  const CallOutcome outcome = refusal(kind, ran);
+  settle(context, call, outcome);
+  answer(context, event.request, outcome, kSecond);
+}
+
+void on_session_requested(const EntryContext& context,
+                          const SessionRequested& event) {
+  EntryState& state = context.state;
+  std::uint64_t session = 0;
+  // A stopping process opens no sessions; the caller gets addresses only.
+  if (state.stop == StopStage::kServing) {
+    session =
+        open_session(state.sessions[own_home(state)], event.caller, state.now);
+  }
+  context.effects.emplace_back(SessionOpened{event.request, session});
+}
+
+bool has_running_call(const EntryState& state, const HomeKey& home) {
+  return std::any_of(
+      state.calls.begin(), state.calls.end(), [&](const auto& entry) {
+        const Call& call = entry.second;
+        return call.session != 0 && call.home == home && !call.forwarded_home;
+      });
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/entry_dispatchers.cc
@@ -0,0 +1,132 @@
+#include "libperidotreach/entry_dispatchers.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "libperidotreach/cells.h"
+
+namespace peridotreach {
+namespace {
+
+// How long a suspected dispatcher is passed over.
+constexpr Millis kSuspicion = 4 * kSecond;
+
+// How long a dispatcher without requests still gets heartbeats.
+constexpr Millis kIdleContact = 10 * kSecond;
+
+bool is_suspected(const EntryState& state, const std::string& vm) {
+  const auto found = state.dispatchers.find(vm);
+  if (found == state.dispatchers.end()) return false;
+  return found->second.suspected_until > state.now;
+}
+
+RunProgress progress_of(const Generation& generation) {
+  const bool started = generation.stage == Stage::kStreaming;
+  return {generation.item, generation.endpoint, generation.produced,
+          started ? RunState::kStarted : RunState::kGranted};
+}
+
+// Moves all requests of `from` to the dispatchers next in order.
+void move_requests(const EntryContext& context, const std::string& from) {
+  EntryState& state = context.state;
+  std::vector<std::string> targets;
+  for (auto& [request, generation] : state.generations) {
+    if (generation.dispatcher != from) continue;
+    const std::string next = choose_dispatcher(state, generation.item.cell);
+    if (next.empty() || next == from) continue;
+    generation.dispatcher = next;
+    if (std::find(targets.begin(), targets.end(), next) == targets.end()) {
+      targets.push_back(next);
+    }
+    explain(context, request, "dispatcher_changed", next);
+  }
+  for (const std::string& target : targets) send_full_report(context, target);
+}
+
+bool in_use(const EntryState& state, const std::string& dispatcher) {
+  return std::any_of(
+      state.generations.begin(), state.generations.end(),
+      [&](const auto& entry) { return entry.second.dispatcher == dispatcher; });
+}
+
+void suspect_silent(const EntryContext& context) {
+  EntryState& state = context.state;
+  std::vector<std::string> silent;
+  for (auto& [vm, contact] : state.dispatchers) {
+    if (contact.suspected_until > state.now) continue;
+    if (contact.asked_at <= contact.heard_at) continue;
+    const Millis since = std::max(contact.heard_at, contact.asked_at);
+    const bool late = state.now - contact.heard_at > kDispatcherSilence &&
+                      state.now - contact.used_at < kIdleContact && since > 0;
+    if (!late) continue;
+    contact.suspected_until = state.now + kSuspicion;
+    silent.push_back(vm);
+  }
+  for (const std::string& vm : silent) move_requests(context, vm);
+}
+
+}  // namespace
+
+std::string choose_dispatcher(const EntryState& state,
+                              const std::string& cell) {
+  const auto order = dispatchers_of(cell, state.self.region, state.view);
+  for (const std::string& vm : order) {
+    if (!is_suspected(state, vm)) return vm;
+  }
+  return order.empty() ? std::string() : order.front();
+}
+
+void note_asked(EntryState& state, const std::string& dispatcher) {
+  DispatcherContact& contact = state.dispatchers[dispatcher];
+  // The silence bound counts from the first question after an answer.
+  if (contact.asked_at <= contact.heard_at) {
+    contact.heard_at = std::max(contact.heard_at, state.now - 1);
+    contact.asked_at = state.now;
+  }
+  contact.used_at = state.now;
+}
+
+void note_heard(EntryState& state, const std::string& dispatcher) {
+  DispatcherContact& contact = state.dispatchers[dispatcher];
+  contact.heard_at = state.now;
+  contact.suspected_until = 0;
+}
+
+void send_full_report(const EntryContext& context,
+                      const std::string& dispatcher) {
+  EntryState& state = context.state;
+  SendReport report;
+  report.dispatcher = dispatcher;
+  report.full = true;
+  for (const auto& [request, generation] : state.generations) {
+    if (generation.dispatcher != dispatcher) continue;
+    const bool runs = generation.stage == Stage::kConnecting ||
+                      generation.stage == Stage::kStreaming;
+    if (runs) report.progress.push_back(progress_of(generation));
+    if (generation.stage == Stage::kQueued) {
+      report.enqueue.push_back(generation.item);
+    }
+  }
+  note_asked(state, dispatcher);
+  state.dispatchers[dispatcher].reported_at = state.now;
+  context.effects.emplace_back(std::move(report));
+}
+
+void tend_dispatchers(const EntryContext& context) {
+  EntryState& state = context.state;
+  suspect_silent(context);
+  std::vector<std::string> due;
+  for (const auto& [vm, contact] : state.dispatchers) {
+    if (!in_use(state, vm)) continue;
+    if (state.now - contact.reported_at >= kHeartbeatInterval) {
+      due.push_back(vm);
+    }
+  }
+  for (const std::string& vm : due) {
+    note_asked(state, vm);
+    state.dispatchers[vm].reported_at = state.now;
+    context.effects.emplace_back(SendReport{vm, false, {}, {}});
+  }
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/entry_event.h
@@ -0,0 +1,326 @@
+#pragma once
+
+// Events of the entry reducer. Requests are numbered by the entry process;
+// a number is used once in an incarnation.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libperidotreach/fleet_config.h"
+#include "libperidotreach/fleet_view.h"
+#include "libperidotreach/refusal_kind.h"
+#include "libperidotreach/session_table.h"
+#include "libperidotreach/time.h"
+#include "libperidotreach/variant_inspect.h"
+
+namespace peridotreach {
+
+// A caller asks for a generation. `idempotency_key` may be empty.
+struct GenerationRequested {
+  std::uint64_t request = 0;
+  std::string caller;
+  std::string rank;
+  std::string service;
+  std::string model;
+  std::string idempotency_key;
+  std::uint32_t prompt_tokens = 0;
+  std::uint64_t fingerprint = 0;
+  std::vector<std::uint64_t> prefixes;
+};
+
+// A caller asks for the rest of a generation after `starting_after`.
+struct ResumeRequested {
+  std::uint64_t request = 0;
+  std::string caller;
+  std::string rank;
+  std::string service;
+  std::string endpoint;
+  std::uint64_t endpoint_incarnation = 0;
+  std::string generation;
+  std::int64_t starting_after = -1;
+};
+
+// A dispatcher granted a request an endpoint.
+struct GrantArrived {
+  std::string dispatcher;
+  std::uint64_t request = 0;
+  std::string endpoint;
+  std::string reason;
+};
+
+// A dispatcher refused a request.
+struct RefusalArrived {
+  std::string dispatcher;
+  std::uint64_t request = 0;
+  RefusalKind kind = RefusalKind::kNone;
+  Millis retry_after = 0;
+};
+
+// A dispatcher takes a grant back.
+struct WithdrawalArrived {
+  std::string dispatcher;
+  std::uint64_t request = 0;
+};
+
+// A dispatcher was heard; `want_full` asks for a full report.
+struct DispatcherHeard {
+  std::string dispatcher;
+  bool want_full = false;
+};
+
+// The endpoint answered a connection of a request.
+struct EndpointOpened {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+  std::uint64_t incarnation = 0;
+};
+
+// Kinds of events in an endpoint's stream.
+enum class ItemKind : std::uint8_t {
+  kCreated = 0,
+  kToken = 1,
+  kOther = 2,
+  kCompleted = 3,
+  kFailed = 4,
+  kHeartbeat = 5,
+};
+
+// One event of an endpoint's stream. `payload` is its JSON text;
+// `generation` is set for kCreated.
+struct StreamItem {
+  ItemKind kind = ItemKind::kOther;
+  std::int64_t sequence = 0;
+  std::string generation;
+  std::string payload;
+
+  bool operator==(const StreamItem&) const = default;
+};
+
+// Events read from an endpoint's stream.
+struct ItemsArrived {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+  std::vector<StreamItem> items;
+};
+
+// How a connection to an endpoint ended without completing.
+enum class EndKind : std::uint8_t {
+  kConnectFailed = 0,  // No byte of the request left.
+  kDeclined = 1,       // The endpoint says that it did not start it.
+  kClosed = 2,         // Ended after bytes had left.
+  kGone = 3,           // The endpoint does not know the generation.
+  kBadAnswer = 4,      // The answer broke the protocol.
+};
+
+// A connection of a request to an endpoint ended.
+struct EndpointClosed {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+  EndKind kind = EndKind::kClosed;
+};
+
+// The caller's connection ended or it cancelled.
+struct CallerLeft {
+  std::uint64_t request = 0;
+  bool cancelled = false;
+};
+
+// A caller calls a plain service. `session` 0 means none. `repeatable` calls
+// need neither session nor key.
+struct CallRequested {
+  std::uint64_t request = 0;
+  std::string caller;
+  std::string rank;
+  std::string service;
+  std::string home;
+  std::uint64_t home_incarnation = 0;
+  std::uint64_t session = 0;
+  std::uint64_t number = 0;
+  std::string idempotency_key;
+  bool repeatable = false;
+  // The caller states that it sends this call for the first time.
+  bool first_attempt = false;
+};
+
+// An answer of the store to a claim of an idempotency key.
+enum class ClaimResult : std::uint8_t { kWon = 0, kLost = 1, kUnavailable = 2 };
+
+// The store answered a claim. `owned_here` states that a claim found there
+// was written by this process incarnation.
+struct ClaimAnswered {
+  std::uint64_t request = 0;
+  ClaimResult result = ClaimResult::kUnavailable;
+  bool owned_here = false;
+};
+
+// A call to a plain service ended. `sent` states whether any byte left.
+struct CallEnded {
+  std::uint64_t request = 0;
+  bool sent = false;
+  bool answered = false;
+  CallOutcome outcome;
+};
+
+// A caller asked for addresses and gets a session.
+struct SessionRequested {
+  std::uint64_t request = 0;
+  std::string caller;
+};
+
+// A leaving VM hands over the sessions of `home`, itself or one that left
+// before.
+struct SessionsArrived {
+  std::string from;
+  std::string home;
+  std::uint64_t incarnation = 0;
+  std::vector<std::uint64_t> numbers;
+  std::vector<Session> sessions;
+};
+
+// The successor confirmed that it holds the sessions.
+struct SessionsAccepted {
+  std::string home;
+  std::uint64_t incarnation = 0;
+};
+
+// The store recorded, or could not record, this process's successor.
+struct SuccessorRecorded {
+  bool recorded = false;
+  std::string successor;
+};
+
+// A new view or configuration.
+struct EntryViewChanged {
+  FleetView view;
+};
+struct EntryConfigChanged {
+  FleetConfig config;
+};
+
+// A planned stop begins.
+struct StopRequested {
+  std::uint8_t unused = 0;
+};
+
+// Time went on; `random` feeds delays.
+struct EntryTicked {
+  std::uint64_t random = 0;
+};
+
+// One event and its time. `wall_minute` is minutes since the epoch.
+struct EntryEvent {
+  Millis at = 0;
+  std::uint64_t wall_minute = 0;
+  std::variant<EntryTicked, GenerationRequested, ResumeRequested, GrantArrived,
+               RefusalArrived, WithdrawalArrived, DispatcherHeard,
+               EndpointOpened, ItemsArrived, EndpointClosed, CallerLeft,
+               CallRequested, ClaimAnswered, CallEnded, SessionRequested,
+               SessionsArrived, SessionsAccepted, SuccessorRecorded,
+               EntryViewChanged, EntryConfigChanged, StopRequested>
+      body;
+};
+
+template <class F>
+auto inspect(F& f, GenerationRequested& x) {
+  return f(x.request, x.caller, x.rank, x.service, x.model, x.idempotency_key,
+           x.prompt_tokens, x.fingerprint, x.prefixes);
+}
+template <class F>
+auto inspect(F& f, ResumeRequested& x) {
+  return f(x.request, x.caller, x.rank, x.service, x.endpoint,
+           x.endpoint_incarnation, x.generation, x.starting_after);
+}
+template <class F>
+auto inspect(F& f, GrantArrived& x) {
+  return f(x.dispatcher, x.request, x.endpoint, x.reason);
+}
+template <class F>
+auto inspect(F& f, RefusalArrived& x) {
+  return f(x.dispatcher, x.request, x.kind, x.retry_after);
+}
+template <class F>
+auto inspect(F& f, WithdrawalArrived& x) {
+  return f(x.dispatcher, x.request);
+}
+template <class F>
+auto inspect(F& f, DispatcherHeard& x) {
+  return f(x.dispatcher, x.want_full);
+}
+template <class F>
+auto inspect(F& f, EndpointOpened& x) {
+  return f(x.request, x.attempt, x.incarnation);
+}
+template <class F>
+auto inspect(F& f, StreamItem& x) {
+  return f(x.kind, x.sequence, x.generation, x.payload);
+}
+template <class F>
+auto inspect(F& f, ItemsArrived& x) {
+  return f(x.request, x.attempt, x.items);
+}
+template <class F>
+auto inspect(F& f, EndpointClosed& x) {
+  return f(x.request, x.attempt, x.kind);
+}
+template <class F>
+auto inspect(F& f, CallerLeft& x) {
+  return f(x.request, x.cancelled);
+}
+template <class F>
+auto inspect(F& f, CallRequested& x) {
+  return f(x.request, x.caller, x.rank, x.service, x.home, x.home_incarnation,
+           x.session, x.number, x.idempotency_key, x.repeatable,
+           x.first_attempt);
+}
+template <class F>
+auto inspect(F& f, ClaimAnswered& x) {
+  return f(x.request, x.result, x.owned_here);
+}
+template <class F>
+auto inspect(F& f, CallEnded& x) {
+  return f(x.request, x.sent, x.answered, x.outcome);
+}
+template <class F>
+auto inspect(F& f, SessionRequested& x) {
+  return f(x.request, x.caller);
+}
+template <class F>
+auto inspect(F& f, SessionsArrived& x) {
+  return f(x.from, x.home, x.incarnation, x.numbers, x.sessions);
+}
+template <class F>
+auto inspect(F& f, SessionsAccepted& x) {
+  return f(x.home, x.incarnation);
+}
+template <class F>
+auto inspect(F& f, SuccessorRecorded& x) {
+  return f(x.recorded, x.successor);
+}
+template <class F>
+auto inspect(F& f, EntryViewChanged& x) {
+  return f(x.view);
+}
+template <class F>
+auto inspect(F& f, EntryConfigChanged& x) {
+  return f(x.config);
+}
+template <class F>
+auto inspect(F& f, StopRequested& x) {
+  return f(x.unused);
+}
+template <class F>
+auto inspect(F& f, EntryTicked& x) {
+  return f(x.random);
+}
+template <class F>
+auto inspect(F& f, EntryEvent& x) {
+  auto head = f(x.at, x.wall_minute);
+  if constexpr (!F::reads_state) {
+    if (head) return head;
+  }
+  return inspect_variant(f, x.body);
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/entry_reducer.cc
@@ -0,0 +1,121 @@
+#include "libperidotreach/entry_reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libperidotreach/entry_calls.h"
+#include "libperidotreach/entry_dispatchers.h"
+#include "libperidotreach/entry_stop.h"
+#include "libperidotreach/entry_streams.h"
+
+namespace peridotreach {
+namespace {
+
+// Minutes of the ledger kept in memory.
+constexpr std::uint64_t kLedgerMinutes = 24 * 60;
+
+void apply(const EntryContext& context, const GenerationRequested& event) {
+  on_generation(context, event);
+}
+void apply(const EntryContext& context, const ResumeRequested& event) {
+  on_resume(context, event);
+}
+void apply(const EntryContext& context, const GrantArrived& event) {
+  on_grant(context, event);
+}
+void apply(const EntryContext& context, const RefusalArrived& event) {
+  on_refusal(context, event);
+}
+void apply(const EntryContext& context, const WithdrawalArrived& event) {
+  on_withdrawal(context, event);
+}
+void apply(const EntryContext& context, const EndpointOpened& event) {
+  on_opened(context, event);
+}
+void apply(const EntryContext& context, const ItemsArrived& event) {
+  on_items(context, event);
+}
+void apply(const EntryContext& context, const EndpointClosed& event) {
+  on_closed(context, event);
+}
+void apply(const EntryContext& context, const CallerLeft& event) {
+  on_caller_left(context, event);
+}
+void apply(const EntryContext& context, const CallRequested& event) {
+  on_call(context, event);
+}
+void apply(const EntryContext& context, const ClaimAnswered& event) {
+  on_claim(context, event);
+}
+void apply(const EntryContext& context, const CallEnded& event) {
+  on_call_ended(context, event);
+}
+void apply(const EntryContext& context, const SessionRequested& event) {
+  on_session_requested(context, event);
+}
+void apply(const EntryContext& context, const SessionsArrived& event) {
+  on_sessions_arrived(context, event);
+}
+void apply(const EntryContext& context, const SessionsAccepted& event) {
+  on_sessions_accepted(context, event);
+}
+void apply(const EntryContext& context, const SuccessorRecorded& event) {
+  on_successor_recorded(context, event);
+}
+void apply(const EntryContext& context, const StopRequested& /*event*/) {
+  on_stop(context);
+}
+
+void apply(const EntryContext& context, const DispatcherHeard& event) {
+  note_heard(context.state, event.dispatcher);
+  if (event.want_full) send_full_report(context, event.dispatcher);
+}
+
+void apply(const EntryContext& context, const EntryViewChanged& event) {
+  context.state.view = event.view;
+}
+
+void apply(const EntryContext& context, const EntryConfigChanged& event) {
+  // A lower revision is never taken, whatever the source.
+  if (event.config.revision < context.state.config.revision) return;
+  context.state.config = event.config;
+  if (is_drained(event.config, context.state.self.vm)) on_stop(context);
+}
+
+void forget_old_pages(EntryState& state) {
+  std::erase_if(state.ledger.pages, [&](const auto& entry) {
+    return entry.first.minute + kLedgerMinutes < state.wall_minute;
+  });
+}
+
+void apply(const EntryContext& context, const EntryTicked& event) {
+  EntryState& state = context.state;
+  state.random ^= event.random;
+  tend_generations(context);
+  tend_dispatchers(context);
+  tend_stop(context);
+  for (auto& [home, table] : state.sessions) {
+    expire_sessions(table, state.now);
+  }
+  forget_old_pages(state);
+}
+
+}  // namespace
+
+EntryState initial_entry_state(const EntryIdentity& self) {
+  EntryState state;
+  state.self = self;
+  state.random = self.incarnation | 1;
+  return state;
+}
+
+EntryStep reduce(EntryState state, const EntryEvent& event) {
+  EntryStep step{std::move(state), {}};
+  step.state.now = std::max(step.state.now, event.at);
+  step.state.wall_minute = std::max(step.state.wall_minute, event.wall_minute);
+  const EntryContext context{step.state, step.effects};
+  std::visit([&](const auto& body) { apply(context, body); }, event.body);
+  return step;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/entry_state.h
@@ -0,0 +1,131 @@
+#pragma once
+
+// State of the entry reducer.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libperidotreach/fleet_config.h"
+#include "libperidotreach/fleet_view.h"
+#include "libperidotreach/queued_request.h"
+#include "libperidotreach/refusal_ledger.h"
+#include "libperidotreach/retry_budget.h"
+#include "libperidotreach/session_table.h"
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// Where this process runs.
+struct EntryIdentity {
+  std::string vm;
+  std::string zone;
+  std::string region;
+  std::uint64_t incarnation = 0;
+
+  bool operator==(const EntryIdentity&) const = default;
+};
+
+template <class F>
+auto inspect(F& f, EntryIdentity& x) {
+  return f(x.vm, x.zone, x.region, x.incarnation);
+}
+
+// Stages of a generation's life.
+enum class Stage : std::uint8_t { kQueued, kConnecting, kStreaming, kWaiting };
+
+// One generation that a caller waits for. `next_sequence` is the next event
+// to relay; `stall_since` is the time of the last token.
+struct Generation {
+  QueuedRequest item;
+  std::string service;
+  std::string idempotency_key;
+  Stage stage = Stage::kQueued;
+  std::string dispatcher;
+  std::string endpoint;
+  std::uint64_t endpoint_incarnation = 0;
+  std::string generation;
+  std::uint32_t attempt = 0;
+  std::uint32_t retries = 0;
+  std::uint32_t reconnects = 0;
+  std::int64_t next_sequence = 0;
+  std::uint32_t produced = 0;
+  std::uint32_t reported = 0;
+  Millis arrived_at = 0;
+  Millis start_by = 0;
+  Millis stage_at = 0;
+  Millis activity_at = 0;
+  Millis token_at = 0;
+  Millis retry_at = 0;
+  Millis caller_left_at = 0;
+  bool delivered = false;
+  bool resumed = false;
+  std::set<std::string> tried_cells;
+};
+
+// A home of sessions: a VM and the incarnation of its entry process.
+using HomeKey = std::pair<std::string, std::uint64_t>;
+
+// One call to a plain service.
+struct Call {
+  std::string caller;
+  std::string rank;
+  std::string service;
+  HomeKey home;
+  std::string claim_key;
+  std::uint64_t session = 0;
+  std::uint64_t number = 0;
+  std::string endpoint;
+  std::set<std::string> tried;
+  bool repeatable = false;
+  bool forwarded_home = false;
+};
+
+// A dispatcher as this entry knows it. `suspected_until` 0 means trusted.
+struct DispatcherContact {
+  Millis asked_at = 0;
+  Millis heard_at = 0;
+  Millis used_at = 0;
+  Millis reported_at = 0;
+  Millis suspected_until = 0;
+};
+
+// Progress of a planned stop.
+enum class StopStage : std::uint8_t {
+  kServing,
+  kAnnounced,
+  kHandingOver,
+  kDraining,
+  kExited,
+};
+
+// All state of one entry process.
+struct EntryState {
+  EntryIdentity self;
+  FleetConfig config;
+  FleetView view;
+  std::map<std::uint64_t, Generation> generations;
+  std::map<std::pair<std::string, std::string>, std::uint64_t> by_key;
+  std::map<std::uint64_t, Call> calls;
+  // Sessions at home here and those taken over from homes that left.
+  std::map<HomeKey, SessionTable> sessions;
+  // Outcomes of calls under a claimed idempotency key.
+  std::map<std::pair<std::string, std::string>, CallRecord> claimed;
+  // Homes whose sessions still have to be handed over in a planned stop.
+  std::set<HomeKey> to_hand_over;
+  std::map<std::string, DispatcherContact> dispatchers;
+  RetryBudget retries;
+  RefusalLedger ledger;
+  StopStage stop = StopStage::kServing;
+  std::string successor;
+  Millis stop_at = 0;
+  Millis now = 0;
+  std::uint64_t wall_minute = 0;
+  std::uint64_t random = 1;
+  std::uint64_t call_turn = 0;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/length_model.cc
@@ -0,0 +1,115 @@
+#include "libperidotreach/length_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotreach {
+namespace {
+
+// Weight kept by older observations at each new one.
+constexpr double kRankDecay = 0.998;
+constexpr double kCallerDecay = 0.99;
+
+// Observations that the parent's curve counts for in the child's.
+constexpr double kShrinkage = 20;
+
+// Longest length that the prior expects, in tokens.
+constexpr double kPriorLongest = 32768;
+
+std::size_t bucket_of(double tokens) {
+  if (tokens < 1) return 0;
+  const auto index = static_cast<std::size_t>(2 * std::log2(tokens));
+  return std::min(index, kLengthBuckets - 1);
+}
+
+void add(LengthHistogram& histogram, double tokens, double decay) {
+  for (double& weight : histogram.weight) weight *= decay;
+  histogram.weight.at(bucket_of(tokens)) += 1;
+  histogram.total = histogram.total * decay + 1;
+}
+
+SurvivalCurve prior_curve() {
+  SurvivalCurve curve{};
+  for (std::size_t i = 0; i <= kLengthBuckets; ++i) {
+    const double floor = bucket_floor(i);
+    const double log_left = std::log2(kPriorLongest / std::max(1.0, floor));
+    curve.at(i) = std::max(0.0, log_left / std::log2(kPriorLongest));
+  }
+  return curve;
+}
+
+// Returns the curve of `histogram` shrunk towards `parent`.
+SurvivalCurve shrink(const LengthHistogram& histogram,
+                     const SurvivalCurve& parent) {
+  SurvivalCurve curve{};
+  const double total = histogram.total + kShrinkage;
+  double above = 0;
+  for (std::size_t i = kLengthBuckets; i > 0; --i) {
+    curve.at(i) = (above + kShrinkage * parent.at(i)) / total;
+    above += histogram.weight.at(i - 1);
+  }
+  curve.at(0) = 1;
+  return curve;
+}
+
+std::string caller_key(const std::string& rank, const std::string& caller) {
+  return rank + "/" + caller;
+}
+
+}  // namespace
+
+double bucket_floor(std::size_t index) {
+  return index == 0 ? 0 : std::exp2(static_cast<double>(index) / 2);
+}
+
+void observe_length(LengthModel& model, const std::string& rank,
+                    const std::string& caller, std::uint32_t tokens) {
+  add(model.by_rank[rank], tokens, kRankDecay);
+  add(model.by_caller[caller_key(rank, caller)], tokens, kCallerDecay);
+}
+
+SurvivalCurve survival_curve(const LengthModel& model, const std::string& rank,
+                             const std::string& caller) {
+  static const SurvivalCurve kPrior = prior_curve();
+  SurvivalCurve curve = kPrior;
+  const auto by_rank = model.by_rank.find(rank);
+  if (by_rank != model.by_rank.end()) curve = shrink(by_rank->second, curve);
+  const auto by_caller = model.by_caller.find(caller_key(rank, caller));
+  if (by_caller != model.by_caller.end()) {
+    curve = shrink(by_caller->second, curve);
+  }
+  return curve;
+}
+
+double survival_at(const SurvivalCurve& curve, double tokens) {
+  const std::size_t index = bucket_of(tokens);
+  const double low = bucket_floor(index);
+  const double high = bucket_floor(index + 1);
+  const double part = std::clamp((tokens - low) / (high - low), 0.0, 1.0);
+  return curve.at(index) * (1 - part) + curve.at(index + 1) * part;
+}
+
+double remaining_survival(const SurvivalCurve& curve, double produced,
+                          double ahead) {
+  const double reached = survival_at(curve, produced);
+  // Beyond all that was ever seen, the longer it ran the longer it may run.
+  const double tail = (produced + 1) / (produced + 1 + ahead);
+  constexpr double kUnseen = 1e-3;
+  if (reached < kUnseen) return tail;
+  return std::clamp(survival_at(curve, produced + ahead) / reached, 0.0, 1.0);
+}
+
+double mean_remaining(const SurvivalCurve& curve, double produced) {
+  double mean = 0;
+  double at = 0;
+  constexpr double kLongest = 65536;
+  for (double step = 16; at < kLongest; step *= 1.5) {
+    const double left = remaining_survival(curve, produced, at);
+    const double right = remaining_survival(curve, produced, at + step);
+    mean += step * (left + right) / 2;
+    at += step;
+  }
+  return mean;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/memory_projection.h
@@ -0,0 +1,35 @@
+#pragma once
+
+// Projected occupancy of an endpoint's KV memory. Each running generation
+// grows by a token a step until it ends at an unknown length; the projection
+// is the highest mean over coming steps plus a margin in standard deviations.
+
+#include <array>
+#include <cstddef>
+
+#include "libperidotreach/length_model.h"
+
+namespace peridotreach {
+
+// Steps ahead at which occupancy is projected, in tokens.
+inline constexpr std::array<double, 9> kProjectionSteps = {
+    0, 16, 64, 192, 512, 1024, 2048, 4096, 12288};
+
+// Mean and variance of occupancy, in tokens, at each projected step.
+struct MemoryProjection {
+  std::array<double, kProjectionSteps.size()> mean{};
+  std::array<double, kProjectionSteps.size()> variance{};
+
+  bool operator==(const MemoryProjection&) const = default;
+};
+
+// Adds a generation with `context` tokens in memory of which `produced` are
+// output.
+void add_generation(MemoryProjection& projection, const SurvivalCurve& curve,
+                    double context, double produced);
+
+// Returns the highest projected occupancy in tokens; `margin` is the number
+// of standard deviations above the mean.
+double projected_peak(const MemoryProjection& projection, double margin);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/queued_request.h
@@ -0,0 +1,61 @@
+#pragma once
+
+// A request as a dispatcher queues it.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "libperidotreach/request_key.h"
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// A request waiting for a grant. `queued_at` is on the receiver's clock;
+// `prefixes` are hashes of growing prompt prefixes, shortest first;
+// `excluded` names endpoints that lost or refused it.
+struct QueuedRequest {
+  RequestKey key;
+  std::string cell;
+  std::string model;
+  std::string caller;
+  std::string rank;
+  std::uint32_t prompt_tokens = 0;
+  Millis queued_at = 0;
+  std::uint64_t fingerprint = 0;
+  std::vector<std::uint64_t> prefixes;
+  std::vector<std::string> excluded;
+
+  bool operator==(const QueuedRequest&) const = default;
+};
+
+// How a granted request stands. Values are part of the wire format.
+enum class RunState : std::uint8_t {
+  kGranted = 0,
+  kStarted = 1,
+  kFinished = 2,
+  kLost = 3,
+  kCancelled = 4,
+};
+
+// An entry's report on a granted request.
+struct RunProgress {
+  QueuedRequest item;
+  std::string endpoint;
+  std::uint32_t produced = 0;
+  RunState state = RunState::kGranted;
+
+  bool operator==(const RunProgress&) const = default;
+};
+
+template <class F>
+auto inspect(F& f, QueuedRequest& x) {
+  return f(x.key, x.cell, x.model, x.caller, x.rank, x.prompt_tokens,
+           x.queued_at, x.fingerprint, x.prefixes, x.excluded);
+}
+template <class F>
+auto inspect(F& f, RunProgress& x) {
+  return f(x.item, x.endpoint, x.produced, x.state);
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/refusal_kind.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// The kinds of refusal a caller can receive, with their remedies.
+
+#include <cstdint>
+#include <string>
+
+namespace peridotreach {
+
+// Why a request was refused. Values are part of the wire format.
+enum class RefusalKind : std::uint8_t {
+  kNone = 0,
+  kQueueFull = 1,
+  kDeadlineUnreachable = 2,
+  kCallerLimit = 3,
+  kNoEndpoint = 4,
+  kQuarantined = 5,
+  kEndpointLost = 6,
+  kStoreUnavailable = 7,
+  kSessionEnded = 8,
+  kTimedOut = 9,
+  kCancelled = 10,
+  kBadRequest = 11,
+  kNoDispatcher = 12,
+  kStopping = 13,
+};
+
+// Whether a refused or failed request ran. Values are part of the wire format.
+enum class Ran : std::uint8_t { kNo = 0, kPartly = 1, kUnknown = 2, kYes = 3 };
+
+// Returns the name that logs, metrics and responses use.
+const char* refusal_name(RefusalKind kind);
+
+// Returns what the caller can do about a refusal of `kind`.
+const char* refusal_remedy(RefusalKind kind);
+
+// Returns the HTTP status that carries a refusal of `kind`.
+unsigned refusal_status(RefusalKind kind);
+
+// Returns "no", "partly", "unknown" or "yes".
+const char* ran_name(Ran ran);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/session_table.cc
@@ -0,0 +1,85 @@
+#include "libperidotreach/session_table.h"
+
+#include <algorithm>
+
+namespace peridotreach {
+namespace {
+
+void end_least_recent(SessionTable& table, const std::string& caller) {
+  std::size_t count = 0;
+  auto oldest = table.sessions.end();
+  for (auto it = table.sessions.begin(); it != table.sessions.end(); ++it) {
+    if (it->second.caller != caller) continue;
+    count += 1;
+    const bool older = oldest == table.sessions.end() ||
+                       it->second.used_at < oldest->second.used_at;
+    if (older) oldest = it;
+  }
+  if (count >= kMostSessions) table.sessions.erase(oldest);
+}
+
+// Forgets the lowest finished numbers beyond the bound. Numbers below stay
+// used: `forgotten` covers them.
+void trim_calls(Session& session) {
+  while (session.calls.size() > kMostCalls) {
+    const auto lowest = session.calls.begin();
+    if (!lowest->second.done) return;
+    session.forgotten = std::max(session.forgotten, lowest->first);
+    session.calls.erase(lowest);
+  }
+}
+
+}  // namespace
+
+std::uint64_t open_session(SessionTable& table, const std::string& caller,
+                           Millis now) {
+  end_least_recent(table, caller);
+  table.last += 1;
+  Session session;
+  session.caller = caller;
+  session.used_at = now;
+  table.sessions.emplace(table.last, std::move(session));
+  return table.last;
+}
+
+CallVerdict begin_call(SessionTable& table, std::uint64_t session,
+                       const std::string& caller, std::uint64_t number,
+                       Millis now) {
+  const auto found = table.sessions.find(session);
+  if (found == table.sessions.end()) return {CallAction::kEnded, {}};
+  Session& own = found->second;
+  if (own.caller != caller) return {CallAction::kEnded, {}};
+  own.used_at = now;
+  const auto used = own.calls.find(number);
+  if (used != own.calls.end()) {
+    if (!used->second.done) return {CallAction::kInProgress, {}};
+    return {CallAction::kReplay, used->second.outcome};
+  }
+  if (number <= own.forgotten) return {CallAction::kForgotten, {}};
+  own.calls.emplace(number, CallRecord{});
+  trim_calls(own);
+  return {CallAction::kExecute, {}};
+}
+
+void end_call(SessionTable& table, std::uint64_t session, std::uint64_t number,
+              const CallOutcome& outcome) {
+  const auto found = table.sessions.find(session);
+  if (found == table.sessions.end()) return;
+  auto& calls = found->second.calls;
+  const auto used = calls.find(number);
+  if (used == calls.end()) return;
+  if (outcome.ran == Ran::kNo) {
+    calls.erase(used);
+    return;
+  }
+  used->second.done = true;
+  used->second.outcome = outcome;
+}
+
+void expire_sessions(SessionTable& table, Millis now) {
+  std::erase_if(table.sessions, [&](const auto& entry) {
+    return now - entry.second.used_at > kSessionLife;
+  });
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/session_table.h
@@ -0,0 +1,109 @@
+#pragma once
+
+// Sessions of non-repeatable calls. A session lives in one entry process
+// incarnation, its home, which alone executes its calls. A number is marked
+// as used before the first byte of its call leaves, so it runs at most once.
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "libperidotreach/refusal_kind.h"
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// The most sessions of one caller and the most remembered calls of a session.
+inline constexpr std::size_t kMostSessions = 1024;
+inline constexpr std::size_t kMostCalls = 64;
+
+// Idle time after which a session ends.
+inline constexpr Millis kSessionLife = 30 * kMinute;
+
+// How a call ended; `status` is the service's HTTP status, 0 if none came.
+struct CallOutcome {
+  Ran ran = Ran::kUnknown;
+  RefusalKind kind = RefusalKind::kNone;
+  std::uint32_t status = 0;
+  std::string content_type;
+  std::string body;
+
+  bool operator==(const CallOutcome&) const = default;
+};
+
+// One used number of a session.
+struct CallRecord {
+  bool done = false;
+  CallOutcome outcome;
+
+  bool operator==(const CallRecord&) const = default;
+};
+
+// One session. Numbers up to `forgotten` were used and are remembered no
+// longer.
+struct Session {
+  std::string caller;
+  std::uint64_t forgotten = 0;
+  Millis used_at = 0;
+  std::map<std::uint64_t, CallRecord> calls;
+
+  bool operator==(const Session&) const = default;
+};
+
+// All sessions at home in one process incarnation.
+struct SessionTable {
+  std::uint64_t last = 0;
+  std::map<std::uint64_t, Session> sessions;
+
+  bool operator==(const SessionTable&) const = default;
+};
+
+// What is to be done with a call.
+enum class CallAction : std::uint8_t {
+  kExecute,
+  kReplay,
+  kInProgress,
+  kEnded,
+  kForgotten,
+};
+
+// The verdict on a call; `outcome` is set for kReplay.
+struct CallVerdict {
+  CallAction action = CallAction::kEnded;
+  CallOutcome outcome;
+
+  bool operator==(const CallVerdict&) const = default;
+};
+
+template <class F>
+auto inspect(F& f, CallOutcome& x) {
+  return f(x.ran, x.kind, x.status, x.content_type, x.body);
+}
+template <class F>
+auto inspect(F& f, CallRecord& x) {
+  return f(x.done, x.outcome);
+}
+template <class F>
+auto inspect(F& f, Session& x) {
+  return f(x.caller, x.forgotten, x.used_at, x.calls);
+}
+
+// Opens a session and returns its number. Ends the caller's least recently
+// used one if it has too many.
+std::uint64_t open_session(SessionTable& table, const std::string& caller,
+                           Millis now);
+
+// Marks `number` as used and says whether this call may run.
+CallVerdict begin_call(SessionTable& table, std::uint64_t session,
+                       const std::string& caller, std::uint64_t number,
+                       Millis now);
+
+// Records how a call ended. One that certainly did not run frees its number.
+void end_call(SessionTable& table, std::uint64_t session, std::uint64_t number,
+              const CallOutcome& outcome);
+
+// Ends sessions that were idle for kSessionLife.
+void expire_sessions(SessionTable& table, Millis now);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-dispatch/dispatch_node.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// One dispatch process: the reducer's host and what performs its effects. All
+// members are used on the I/O thread only.
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "libperidotreach/dispatch_reducer.h"
+#include "peridot-dispatch/endpoint_watch.h"
+#include "runtime/control_link.h"
+#include "runtime/held_config.h"
+#include "runtime/metrics.h"
+#include "runtime/reducer_host.h"
+#include "runtime/settings.h"
+#include "runtime/vm_list.h"
+
+namespace peridotreach {
+
+// The node.
+class DispatchNode {
+ public:
+  DispatchNode(asio::io_context& io, const Settings& settings,
+               HttpTarget vm_list);
+  ~DispatchNode();
+
+  // Binds the control port and starts all loops.
+  Result<std::uint16_t> start();
+
+  Metrics& metrics() { return metrics_; }
+
+  // Sends all that is batched and stops the process.
+  void stop();
+
+ private:
+  template <class Body>
+  void post(Body body);
+
+  void perform_all(std::vector<DispatchEffect>& effects);
+  void perform(const IssueGrant& effect);
+  void perform(const IssueRefusal& effect);
+  void perform(const IssueWithdrawal& effect);
+  void perform(const RequestFullReport& effect);
+  void perform(const WatchEndpoint& effect);
+  void perform(const UnwatchEndpoint& effect);
+  void on_message(const std::string& peer, const proto::Envelope& message);
+  void on_listing(const VmListing& listing);
+  proto::Envelope& batch(const std::string& vm);
+  void flush();
+  proto::Envelope envelope() const;
+  awaitable<void> tick();
+  awaitable<void> seek_config();
+
+  asio::io_context& io_;
+  const Settings& settings_;
+  std::string vm_;
+  std::uint64_t incarnation_;
+  ControlLink link_;
+  HeldConfig config_;
+  HttpTarget vm_list_;
+  Metrics metrics_;
+  std::unique_ptr<ReducerHost<DispatchState, DispatchEvent, DispatchEffect>>
+      host_;
+  std::map<std::string, std::string> peers_;
+  std::map<std::string, proto::Envelope> batches_;
+  std::map<std::string, std::shared_ptr<EndpointWatch>> watches_;
+  bool flush_posted_ = false;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-entry/calls_api.cc
@@ -0,0 +1,143 @@
+#include "peridot-entry/calls_api.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdlib>
+#include <utility>
+#include <vector>
+
+#include "fleet.pb.h"
+#include "libperidotreach/entry_stop.h"
+#include "runtime/json.h"
+
+namespace peridotreach {
+namespace {
+
+// Entry VMs that a call may pass on its way to its session's home.
+constexpr std::int64_t kMostHops = 3;
+
+constexpr Millis kAnswerCheck = kSecond;
+
+// Returns the VMs that callers may use, those of `zone` first.
+std::vector<VmInfo> usable_vms(const FleetView& view, const FleetConfig& config,
+                               const std::string& zone) {
+  std::vector<VmInfo> vms;
+  for (const VmInfo& vm : view.vms) {
+    if (vm.leaving || is_drained(config, vm.vm)) continue;
+    vms.push_back(vm);
+  }
+  std::stable_sort(vms.begin(), vms.end(),
+                   [&](const VmInfo& a, const VmInfo& b) {
+                     return (a.zone == zone) > (b.zone == zone);
+                   });
+  return vms;
+}
+
+// Reads the session header into `event`. Returns false if it is not a session
+// of this caller or lacks its number.
+bool read_session(const EntryNode& node, const HttpRequest& request,
+                  const std::string& caller, CallRequested& event) {
+  const std::string session = request.header("peridot-session");
+  if (session.empty()) return true;
+  const auto payload = open_token(node.fleet_key(), "sess_", session);
+  if (!ok(payload)) return false;
+  proto::SessionToken token;
+  if (!token.ParseFromString(value(payload))) return false;
+  if (token.caller() != caller) return false;
+  event.home = token.home();
+  event.home_incarnation = token.incarnation();
+  event.session = token.session();
+  event.number =
+      std::strtoull(request.header("peridot-sequence").c_str(), nullptr, 10);
+  return event.number > 0;
+}
+
+HttpResponse response_of(const CallWaiter& waiter) {
+  const CallOutcome& outcome = waiter.outcome;
+  HttpResponse response;
+  if (outcome.kind == RefusalKind::kNone) {
+    response.status = outcome.status;
+    response.body = outcome.body;
+    if (!outcome.content_type.empty()) {
+      response.content_type = outcome.content_type;
+    }
+  } else {
+    response = error_response(
+        refusal_status(outcome.kind), refusal_name(outcome.kind),
+        std::string("the call was not answered: ") +
+            refusal_name(outcome.kind) + ", ran: " + ran_name(outcome.ran),
+        refusal_remedy(outcome.kind));
+  }
+  response.headers.push_back({"peridot-ran", ran_name(outcome.ran)});
+  if (waiter.retry_after > 0) {
+    response.headers.push_back(
+        {"retry-after-ms", std::to_string(waiter.retry_after)});
+  }
+  return response;
+}
+
+}  // namespace
+
+awaitable<void> answer_addresses(EntryNode& node, HttpExchange& exchange,
+                                 const CallerPolicy& caller) {
+  const std::string asked = exchange.request().parameter("zone");
+  const std::string zone = asked.empty() ? node.identity().zone : asked;
+  json::array addresses;
+  for (const VmInfo& vm : usable_vms(node.view(), node.config(), zone)) {
+    json::object address;
+    address["vm"] = vm.vm;
+    address["zone"] = vm.zone;
+    address["url"] =
+        "http://" + vm.address + ":" + std::to_string(vm.http_port);
+    addresses.push_back(std::move(address));
+  }
+  json::object body;
+  body["addresses"] = std::move(addresses);
+  body["lifetime_ms"] = kAddressLife;
+  const std::string session = co_await node.open_session(caller.id);
+  if (!session.empty()) body["session"] = session;
+  HttpResponse response;
+  response.body = json::serialize(body);
+  co_await exchange.respond(std::move(response));
+}
+
+awaitable<void> answer_call(EntryNode& node, HttpExchange& exchange,
+                            const CallerPolicy& caller, std::string rest) {
+  const std::size_t slash = std::min(rest.find('/'), rest.size());
+  const std::string name = rest.substr(0, slash);
+  const std::string path = slash < rest.size() ? rest.substr(slash) : "/";
+  const ServicePolicy* service = find_service(node.config(), name);
+  if (service == nullptr || service->is_model) {
+    co_await exchange.respond(error_response(
+        404, "service_not_found", "there is no plain service " + name,
+        "correct the path"));
+    co_return;
+  }
+  const HttpRequest& request = exchange.request();
+  CallRequested event;
+  event.caller = caller.id;
+  event.rank = caller.ranks.empty() ? "" : caller.ranks.front();
+  event.service = name;
+  event.idempotency_key = request.header("idempotency-key");
+  event.repeatable = !is_non_repeatable(*service, request.method, path);
+  event.first_attempt = request.header("peridot-attempt") == "1";
+  const std::int64_t hops =
+      std::strtoll(request.header("peridot-hops").c_str(), nullptr, 10);
+  if (!read_session(node, request, caller.id, event) || hops > kMostHops) {
+    co_await exchange.respond(error_response(
+        409, "bad_session", "the session or its number cannot be used",
+        "ask /v1/addresses for a session; number its calls from 1"));
+    co_return;
+  }
+  auto waiter = node.open_call(event.request);
+  waiter->request = request;
+  waiter->path = path;
+  node.post(event);
+  while (!waiter->done) co_await waiter->signal.wait(kAnswerCheck);
+  HttpResponse response = response_of(*waiter);
+  response.headers.push_back({"x-request-id", node.request_id(event.request)});
+  co_await exchange.respond(std::move(response));
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-steward/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/peridotctl/commands.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// The commands of peridotctl. Each prints its result and returns the exit
+// code of the program.
+
+#include <string>
+#include <vector>
+
+#include "runtime/settings.h"
+
+namespace peridotreach {
+
+// Exit codes, as docs/OPERATIONS.md lists them.
+enum ExitCode {
+  kDone = 0,
+  kFailed = 1,
+  kUsage = 2,
+  kSheetFaults = 3,
+  kRefused = 4,
+  kStoreDown = 5,
+};
+
+// Settings and words of one command.
+struct CommandLine {
+  const Settings& settings;
+  std::vector<std::string> words;
+};
+
+int check_sheet_file(const CommandLine& line);
+int diff_sheet_file(const CommandLine& line);
+int apply_sheet_file(const CommandLine& line);
+int correct(const CommandLine& line);
+int drain(const CommandLine& line);
+int show_status(const CommandLine& line);
+int show_history(const CommandLine& line);
+int show_refusals(const CommandLine& line);
+int explain_request(const CommandLine& line);
+int print_completion(const CommandLine& line);
+
+// Prints an error and returns its exit code.
+int report_error(const Error& problem);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridotctl/report_commands.cc
@@ -0,0 +1,209 @@
+// Commands that show what the fleet does and did.
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <set>
+
+#include "fleet.pb.h"
+#include "libperidotreach/refusal_ledger.h"
+#include "peridotctl/commands.h"
+#include "peridotctl/store_session.h"
+#include "peridotctl/table.h"
+#include "runtime/clock.h"
+#include "runtime/json.h"
+#include "runtime/store_keys.h"
+#include "runtime/wire.h"
+
+namespace peridotreach {
+namespace {
+
+// A connection to the store for one command.
+struct Opened {
+  asio::io_context io{1};
+  std::unique_ptr<StoreSession> session;
+};
+
+bool open_store(const CommandLine& line, Opened& opened) {
+  const Result<HttpTarget> store = parse_url(line.settings.text("store"));
+  if (!ok(store)) {
+    std::cerr << describe(error(store)) << "\n";
+    return false;
+  }
+  opened.session = std::make_unique<StoreSession>(opened.io, value(store));
+  return true;
+}
+
+std::vector<VmInfo> registered_vms(const Result<StoreSnapshot>& snapshot) {
+  std::vector<VmInfo> vms;
+  if (!ok(snapshot)) return vms;
+  for (const StoreEntry& entry : value(snapshot).entries) {
+    proto::VmRecord record;
+    if (record.ParseFromString(entry.value)) vms.push_back(from_wire(record));
+  }
+  return vms;
+}
+
+HttpTarget target_of(const VmInfo& vm) {
+  return {vm.address, static_cast<std::uint16_t>(vm.http_port)};
+}
+
+std::vector<std::string> status_row(const VmInfo& vm,
+                                    const ClientAnswer& answer) {
+  const Result<json::object> parsed = parse_object(answer.body);
+  if (!answer.answered || !ok(parsed)) {
+    return {vm.vm, vm.zone, "no answer", "", "", "", ""};
+  }
+  const json::object& status = value(parsed);
+  const char* state = truth_member(status, "stopping") ? "leaving" : "serving";
+  return {vm.vm,
+          vm.zone,
+          state,
+          std::to_string(number_member(status, "revision")),
+          std::to_string(number_member(status, "serial")),
+          std::to_string(number_member(status, "open_requests")),
+          truth_member(status, "store_answers") ? "yes" : "no"};
+}
+
+// Parses HH:MM of today or minutes since the epoch into minutes.
+std::uint64_t minute_from(const std::string& text, std::uint64_t fallback) {
+  if (text.empty()) return fallback;
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+void merge_cells(const std::string& body, RefusalLedger& ledger) {
+  const Result<json::object> parsed = parse_object(body);
+  if (!ok(parsed)) return;
+  for (const json::value& item : array_member(value(parsed), "cells")) {
+    if (!item.is_object()) continue;
+    const json::object& cell = item.as_object();
+    proto::RefusalMinute page;
+    page.set_vm(text_member(cell, "vm"));
+    page.set_incarnation(
+        std::strtoull(text_member(cell, "incarnation").c_str(), nullptr, 10));
+    page.set_minute(static_cast<std::uint64_t>(number_member(cell, "minute")));
+    proto::RefusalCell* wire = page.add_cells();
+    wire->set_caller(text_member(cell, "caller"));
+    wire->set_rank(text_member(cell, "rank"));
+    wire->set_service(text_member(cell, "service"));
+    wire->set_kind(text_member(cell, "kind"));
+    wire->set_count(static_cast<std::uint64_t>(number_member(cell, "count")));
+    merge_wire(page, ledger);
+  }
+}
+
+}  // namespace
+
+int show_status(const CommandLine& line) {
+  Opened opened;
+  if (!open_store(line, opened)) return kUsage;
+  const auto snapshot = opened.session->read_prefix(kVmPrefix);
+  if (!ok(snapshot)) return report_error(error(snapshot));
+  Table table{{"vm", "zone", "state", "revision", "serial", "open", "store"},
+              {}};
+  for (const VmInfo& vm : registered_vms(snapshot)) {
+    const ClientAnswer answer =
+        opened.session->ask(target_of(vm), "GET", "/admin/status",
+                            line.settings.text("operator-key"));
+    table.rows.push_back(status_row(vm, answer));
+  }
+  std::cout << print_table(table, line.settings.is_on("json"));
+  return kDone;
+}
+
+int show_history(const CommandLine& line) {
+  Opened opened;
+  if (!open_store(line, opened)) return kUsage;
+  const Result<proto::Config> config = opened.session->read_config();
+  if (!ok(config)) return report_error(error(config));
+  Table table{{"revision", "kind", "operator", "at_ms", "summary", "change"},
+              {}};
+  for (const proto::Change& change : value(config).changes()) {
+    table.rows.push_back({std::to_string(change.revision()), change.kind(),
+                          change.operator_name(),
+                          std::to_string(change.at_ms()), change.summary(),
+                          change.id()});
+  }
+  std::cout << print_table(table, line.settings.is_on("json"));
+  return kDone;
+}
+
+int show_refusals(const CommandLine& line) {
+  Opened opened;
+  if (!open_store(line, opened)) return kUsage;
+  const std::uint64_t now = wall_minute();
+  constexpr std::uint64_t kDayMinutes = 24 * 60;
+  const std::uint64_t from =
+      minute_from(line.settings.text("from"), now - kDayMinutes);
+  const std::uint64_t to = minute_from(line.settings.text("to"), now + 1);
+  RefusalLedger ledger;
+  std::vector<std::string> missing;
+  const auto stored = opened.session->read_prefix(kLedgerPrefix);
+  if (!ok(stored)) {
+    missing.emplace_back("pages in the store: " + error(stored).message);
+  } else {
+    for (const StoreEntry& entry : value(stored).entries) {
+      proto::RefusalMinute page;
+      if (page.ParseFromString(entry.value)) merge_wire(page, ledger);
+    }
+  }
+  const auto snapshot = opened.session->read_prefix(kVmPrefix);
+  for (const VmInfo& vm : registered_vms(snapshot)) {
+    const ClientAnswer answer =
+        opened.session->ask(target_of(vm), "GET", "/admin/refusals",
+                            line.settings.text("operator-key"));
+    if (answer.answered) {
+      merge_cells(answer.body, ledger);
+    } else {
+      missing.push_back("unwritten minutes of " + vm.vm +
+                        " that no peer holds");
+    }
+  }
+  Table table{{"caller", "rank", "service", "kind", "refusals", "minutes"}, {}};
+  for (const RefusalRow& row : account_refusals(ledger, from, to)) {
+    table.rows.push_back({row.line.caller, row.line.rank, row.line.service,
+                          refusal_name(row.line.kind),
+                          std::to_string(row.refusals),
+                          std::to_string(row.minutes)});
+  }
+  std::cout << print_table(table, line.settings.is_on("json"));
+  for (const std::string& gap : missing) {
+    std::cerr << "not accounted for: " << gap << "\n";
+  }
+  return missing.empty() ? kDone : kFailed;
+}
+
+int explain_request(const CommandLine& line) {
+  if (line.words.size() != 2) {
+    std::cerr << "write: explain REQUEST-ID\n";
+    return kUsage;
+  }
+  Opened opened;
+  if (!open_store(line, opened)) return kUsage;
+  const std::string& id = line.words[1];
+  const std::string name = id.substr(0, id.find('.'));
+  const auto snapshot = opened.session->read_prefix(kVmPrefix);
+  if (!ok(snapshot)) return report_error(error(snapshot));
+  for (const VmInfo& vm : registered_vms(snapshot)) {
+    if (vm.vm != name) continue;
+    const ClientAnswer answer =
+        opened.session->ask(target_of(vm), "GET", "/admin/explain/" + id,
+                            line.settings.text("operator-key"));
+    const Result<json::object> parsed = parse_object(answer.body);
+    if (!answer.answered || !ok(parsed)) break;
+    Table table{{"at_ms", "code", "detail"}, {}};
+    for (const json::value& item : array_member(value(parsed), "decisions")) {
+      const json::object& decision = item.as_object();
+      table.rows.push_back({std::to_string(number_member(decision, "at_ms")),
+                            text_member(decision, "code"),
+                            text_member(decision, "detail")});
+    }
+    std::cout << print_table(table, line.settings.is_on("json"));
+    return table.rows.empty() ? kFailed : kDone;
+  }
+  std::cerr << "the VM that handled " << id
+            << " does not answer; its memory of requests is gone\n";
+  return kFailed;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridotctl/sheet_commands.cc
@@ -0,0 +1,184 @@
+// Commands on sheets and single fields of the configuration.
+
+#include <google/protobuf/util/message_differencer.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "fleet.pb.h"
+#include "libperidotreach/config_change.h"
+#include "libperidotreach/signed_token.h"
+#include "peridotctl/commands.h"
+#include "peridotctl/store_session.h"
+#include "peridotctl/table.h"
+#include "runtime/clock.h"
+#include "runtime/json_sheet.h"
+
+namespace peridotreach {
+namespace {
+
+bool read_file(const std::string& path, std::string& text) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return false;
+  std::stringstream buffer;
+  buffer << file.rdbuf();
+  text = buffer.str();
+  return true;
+}
+
+int print_faults(const std::vector<SheetFault>& faults, bool as_json) {
+  Table table{{"path", "problem", "remedy"}, {}};
+  for (const SheetFault& fault : faults) {
+    table.rows.push_back({fault.path, fault.problem, fault.remedy});
+  }
+  std::cout << print_table(table, as_json);
+  return kSheetFaults;
+}
+
+// Reads the sheet that the command names. Returns kDone or an exit code.
+int load_sheet(const CommandLine& line, proto::Sheet& sheet,
+               std::string& text) {
+  if (line.words.size() != 3) {
+    std::cerr << "name one sheet file\n";
+    return kUsage;
+  }
+  if (!read_file(line.words[2], text)) {
+    std::cerr << "cannot read " << line.words[2] << "; check its path\n";
+    return kFailed;
+  }
+  const std::vector<SheetFault> faults = read_sheet(text, sheet);
+  if (faults.empty()) return kDone;
+  return print_faults(faults, line.settings.is_on("json"));
+}
+
+std::string operator_name(const Settings& settings) {
+  const std::string& name = settings.text("operator");
+  return name.empty() ? "operator" : name;
+}
+
+// Returns the difference of two sheets, one line for each field.
+std::string difference(const proto::Sheet& from, const proto::Sheet& to) {
+  std::string report;
+  google::protobuf::util::MessageDifferencer differencer;
+  differencer.set_repeated_field_comparison(
+      google::protobuf::util::MessageDifferencer::AS_LIST);
+  differencer.ReportDifferencesToString(&report);
+  proto::Sheet without_drained = to;
+  *without_drained.mutable_drained() = from.drained();
+  differencer.Compare(from, without_drained);
+  return report;
+}
+
+Result<HttpTarget> store_of(const Settings& settings) {
+  return parse_url(settings.text("store"));
+}
+
+// Runs a change and prints what became of it.
+int run_change(const CommandLine& line, const std::string& id,
+               const ConfigEdit& edit) {
+  const Result<HttpTarget> store = store_of(line.settings);
+  if (!ok(store)) return report_error(error(store));
+  asio::io_context io(1);
+  StoreSession session(io, value(store));
+  const Result<ChangeResult> result = session.change_config(id, edit);
+  if (!ok(result)) return report_error(error(result));
+  const ChangeResult& change = value(result);
+  Table table{{"accepted", "revision", "change"}, {}};
+  table.rows.push_back(
+      {change.found_earlier ? "yes (on an earlier attempt)" : "yes",
+       std::to_string(change.revision), id});
+  std::cout << print_table(table, line.settings.is_on("json"));
+  return kDone;
+}
+
+}  // namespace
+
+int report_error(const Error& problem) {
+  std::cerr << error_kind_name(problem.kind) << ": " << describe(problem)
+            << "\n";
+  const bool store = problem.kind == ErrorKind::kUnavailable ||
+                     problem.kind == ErrorKind::kTimeout;
+  const bool refused =
+      problem.kind == ErrorKind::kConflict || problem.kind == ErrorKind::kStale;
+  if (store) return kStoreDown;
+  return refused ? kRefused : kFailed;
+}
+
+int check_sheet_file(const CommandLine& line) {
+  proto::Sheet sheet;
+  std::string text;
+  const int code = load_sheet(line, sheet, text);
+  if (code != kDone) return code;
+  Table table{{"sheet", "serial", "result"}, {}};
+  table.rows.push_back(
+      {sheet.deployment(), std::to_string(sheet.serial()), "no faults"});
+  std::cout << print_table(table, line.settings.is_on("json"));
+  return kDone;
+}
+
+int diff_sheet_file(const CommandLine& line) {
+  proto::Sheet sheet;
+  std::string text;
+  const int code = load_sheet(line, sheet, text);
+  if (code != kDone) return code;
+  const Result<HttpTarget> store = store_of(line.settings);
+  if (!ok(store)) return report_error(error(store));
+  asio::io_context io(1);
+  StoreSession session(io, value(store));
+  const Result<proto::Config> config = session.read_config();
+  if (!ok(config)) return report_error(error(config));
+  const std::string changes = difference(value(config).sheet(), sheet);
+  std::cout << (changes.empty() ? "nothing would change\n" : changes);
+  return kDone;
+}
+
+int apply_sheet_file(const CommandLine& line) {
+  proto::Sheet sheet;
+  std::string text;
+  const int code = load_sheet(line, sheet, text);
+  if (code != kDone) return code;
+  // The same sheet handed in again is the same change.
+  ChangeNote note;
+  note.id = "sheet-" + std::to_string(sheet.serial()) + "-" +
+            sha256_hex(text).substr(0, 12);
+  note.operator_name = operator_name(line.settings);
+  note.summary = "sheet " + std::to_string(sheet.serial());
+  note.at_ms = wall_now_ms();
+  return run_change(line, note.id, [=](const proto::Config& current) {
+    return apply_sheet(current, sheet, note);
+  });
+}
+
+int correct(const CommandLine& line) {
+  if (line.words.size() < 3 || line.words.size() > 4) {
+    std::cerr << "write: correct PATH VALUE [EXPECTED]\n";
+    return kUsage;
+  }
+  Correction correction{line.words[1], line.words[2],
+                        line.words.size() == 4 ? line.words[3] : ""};
+  ChangeNote note;
+  const std::string& given = line.settings.text("change-id");
+  note.id =
+      given.empty() ? "correction-" + std::to_string(random_number()) : given;
+  note.operator_name = operator_name(line.settings);
+  note.summary = correction.path + " = " + correction.value;
+  note.at_ms = wall_now_ms();
+  return run_change(line, note.id, [=](const proto::Config& current) {
+    return apply_correction(current, correction, note);
+  });
+}
+
+int drain(const CommandLine& line) {
+  const bool back = line.words.size() == 3 && line.words[2] == "--back";
+  if (line.words.size() != 2 && !back) {
+    std::cerr << "write: drain VM-OR-ENDPOINT\n";
+    return kUsage;
+  }
+  CommandLine as_correction{line.settings,
+                            {"correct", "drained/" + line.words[1],
+                             line.settings.is_on("undo") ? "no" : "yes"}};
+  return correct(as_correction);
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/runtime/clock.cc
@@ -0,0 +1,37 @@
+#include "runtime/clock.h"
+
+#include <sodium.h>
+
+#include <chrono>
+
+namespace peridotreach {
+
+Millis monotonic_now() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::uint64_t wall_now_ms() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::uint64_t wall_minute() {
+  return wall_now_ms() / static_cast<std::uint64_t>(kMinute);
+}
+
+std::uint64_t random_number() {
+  std::uint64_t number = 0;
+  randombytes_buf(&number, sizeof number);
+  return number;
+}
+
+awaitable<void> sleep_for(Millis duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(std::chrono::milliseconds(duration));
+  error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/runtime/clock.h
@@ -0,0 +1,27 @@
+#pragma once
+
+// Clocks of the process; only the runtime reads them.
+
+#include <cstdint>
+
+#include "libperidotreach/time.h"
+#include "runtime/asio.h"
+
+namespace peridotreach {
+
+// Milliseconds of the monotonic clock.
+Millis monotonic_now();
+
+// Milliseconds since the epoch.
+std::uint64_t wall_now_ms();
+
+// Minutes since the epoch.
+std::uint64_t wall_minute();
+
+// A random 64-bit number.
+std::uint64_t random_number();
+
+// Completes after `duration`.
+awaitable<void> sleep_for(Millis duration);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/runtime/metrics.cc
@@ -0,0 +1,108 @@
+#include "runtime/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <cstddef>
+
+#include "libperidotreach/refusal_kind.h"
+
+namespace peridotreach {
+namespace {
+
+// The most values of one label; more are summed up as "other".
+constexpr std::size_t kMostLabelValues = 300;
+
+const char* measure_name(Measure measure) {
+  switch (measure) {
+    case Measure::kQueueTime:
+      return "queue_ms";
+    case Measure::kFirstToken:
+      return "first_token_ms";
+    case Measure::kTokenGap:
+      return "token_gap_ms";
+    case Measure::kOutputLength:
+      return "output_tokens";
+    case Measure::kStall:
+      return "stall_ms";
+  }
+  return "unknown";
+}
+
+prometheus::Histogram::BucketBoundaries buckets_of(Measure measure) {
+  if (measure == Measure::kTokenGap) {
+    return {10, 20, 30, 40, 47, 60, 80, 120, 250, 500, 1000, 3000};
+  }
+  if (measure == Measure::kOutputLength) {
+    return {8, 32, 128, 512, 1024, 2048, 4096, 8192, 16384, 32768, 65536};
+  }
+  return {5, 20, 50, 100, 200, 440, 1000, 2000, 5000, 20000, 60000, 300000};
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : by_rank_(prometheus::BuildHistogram()
+                   .Name("peridot_by_rank")
+                   .Help("Times and lengths by rank")
+                   .Register(registry_)),
+      by_caller_(prometheus::BuildHistogram()
+                     .Name("peridot_by_caller")
+                     .Help("Times and lengths by caller")
+                     .Register(registry_)),
+      refusals_(prometheus::BuildCounter()
+                    .Name("peridot_refusals_total")
+                    .Help("Refusals by rank, service and kind")
+                    .Register(registry_)),
+      events_(prometheus::BuildCounter()
+                  .Name("peridot_events_total")
+                  .Help("Events by kind")
+                  .Register(registry_)),
+      gauges_(prometheus::BuildGauge()
+                  .Name("peridot_state")
+                  .Help("Present values")
+                  .Register(registry_)) {}
+
+std::string Metrics::bounded(std::set<std::string>& seen,
+                             const std::string& value) {
+  if (seen.contains(value)) return value;
+  if (seen.size() >= kMostLabelValues) return "other";
+  seen.insert(value);
+  return value;
+}
+
+void Metrics::observe(const Observe& observation) {
+  const std::string measure = measure_name(observation.measure);
+  const auto buckets = buckets_of(observation.measure);
+  by_rank_
+      .Add({{"measure", measure}, {"rank", bounded(ranks_, observation.rank)}},
+           buckets)
+      .Observe(observation.value);
+  by_caller_
+      .Add({{"measure", measure},
+            {"caller", bounded(callers_, observation.caller)}},
+           buckets)
+      .Observe(observation.value);
+}
+
+void Metrics::count_refusal(const RefusalLine& line) {
+  refusals_
+      .Add({{"rank", bounded(ranks_, line.rank)},
+            {"service", line.service},
+            {"kind", refusal_name(line.kind)}})
+      .Increment();
+}
+
+void Metrics::count(const std::string& name, double by) {
+  events_.Add({{"event", name}}).Increment(by);
+}
+
+void Metrics::set(const std::string& name, double value) {
+  gauges_.Add({{"name", name}}).Set(value);
+}
+
+std::string Metrics::text() const {
+  const prometheus::TextSerializer serializer;
+  return serializer.Serialize(registry_.Collect());
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/runtime/version.h
@@ -0,0 +1,9 @@
+#pragma once
+
+// The version that programs print.
+
+namespace peridotreach {
+
+inline constexpr const char* kVersion = "0.1.0";
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/runtime/vm_list.cc
@@ -0,0 +1,88 @@
+#include "runtime/vm_list.h"
+
+#include <algorithm>
+
+#include "runtime/clock.h"
+#include "runtime/json.h"
+#include "runtime/log.h"
+
+namespace peridotreach {
+namespace {
+
+constexpr unsigned kHttpOk = 200;
+constexpr Millis kPollTimeout = 2 * kSecond;
+
+// Service name of the system's own VMs in the list.
+constexpr const char* kEntryService = "peridot-entry";
+
+EndpointInfo endpoint_from(const json::object& from) {
+  EndpointInfo info;
+  info.id = text_member(from, "id");
+  info.service = text_member(from, "service");
+  info.zone = text_member(from, "zone");
+  info.region = text_member(from, "region");
+  info.address = text_member(from, "address");
+  info.port = static_cast<std::uint32_t>(number_member(from, "port"));
+  info.leaving = text_member(from, "state") == "leaving";
+  return info;
+}
+
+VmInfo entry_from(const json::object& from) {
+  VmInfo info;
+  info.vm = text_member(from, "id");
+  info.zone = text_member(from, "zone");
+  info.region = text_member(from, "region");
+  info.address = text_member(from, "address");
+  info.http_port = static_cast<std::uint32_t>(number_member(from, "port"));
+  info.entry_port =
+      static_cast<std::uint32_t>(number_member(from, "entry_port"));
+  info.dispatch_port =
+      static_cast<std::uint32_t>(number_member(from, "dispatch_port"));
+  info.leaving = text_member(from, "state") == "leaving";
+  return info;
+}
+
+}  // namespace
+
+Result<VmListing> parse_vm_list(const std::string& body) {
+  const Result<json::object> parsed = parse_object(body);
+  if (!ok(parsed)) return error(parsed);
+  VmListing listing;
+  for (const json::value& vm : array_member(value(parsed), "vms")) {
+    if (!vm.is_object()) continue;
+    const json::object& object = vm.as_object();
+    if (text_member(object, "service") == kEntryService) {
+      listing.entries.push_back(entry_from(object));
+      continue;
+    }
+    listing.endpoints.push_back(endpoint_from(object));
+  }
+  std::sort(listing.endpoints.begin(), listing.endpoints.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  return listing;
+}
+
+awaitable<void> poll_vm_list(asio::io_context& io, HttpTarget target,
+                             Millis interval,
+                             std::function<void(const VmListing&)> on_change) {
+  std::string version;
+  while (true) {
+    ClientRequest request;
+    request.target = "/vms?since=" + version;
+    const ClientAnswer answer =
+        co_await exchange(io, target, std::move(request), kPollTimeout);
+    if (answer.answered && answer.status == kHttpOk) {
+      const Result<VmListing> listing = parse_vm_list(answer.body);
+      const Result<json::object> parsed = parse_object(answer.body);
+      if (ok(listing) && ok(parsed)) {
+        version = text_member(value(parsed), "version");
+        on_change(value(listing));
+      } else {
+        log(LogLevel::kWarning, "the VM list is malformed");
+      }
+    }
+    co_await sleep_for(interval);
+  }
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/runtime/wire.cc
@@ -0,0 +1,197 @@
+#include "runtime/wire.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fleet.pb.h"
+
+namespace peridotreach {
+namespace {
+
+// The highest values of enumerations accepted from peers.
+constexpr std::uint32_t kMostRefusalKind =
+    static_cast<std::uint32_t>(RefusalKind::kStopping);
+constexpr std::uint32_t kMostRan = static_cast<std::uint32_t>(Ran::kYes);
+constexpr std::uint32_t kMostRunState =
+    static_cast<std::uint32_t>(RunState::kCancelled);
+
+RefusalKind kind_from(std::uint32_t number) {
+  return static_cast<RefusalKind>(std::min(number, kMostRefusalKind));
+}
+
+Ran ran_from(std::uint32_t number) {
+  return number > kMostRan ? Ran::kUnknown : static_cast<Ran>(number);
+}
+
+Session session_from(const proto::SessionCell& wire, Millis now) {
+  Session session;
+  session.caller = wire.caller();
+  session.forgotten = wire.forgotten();
+  session.used_at = now;
+  for (const proto::CallCell& cell : wire.calls()) {
+    CallRecord record;
+    record.done = cell.done();
+    record.outcome = {ran_from(cell.ran()), kind_from(cell.kind()),
+                      cell.status(), cell.content_type(), cell.body()};
+    session.calls.emplace(cell.number(), std::move(record));
+  }
+  return session;
+}
+
+void to_cell(std::uint64_t number, const Session& session,
+             proto::SessionCell& wire) {
+  wire.set_session(number);
+  wire.set_caller(session.caller);
+  wire.set_forgotten(session.forgotten);
+  for (const auto& [call, record] : session.calls) {
+    proto::CallCell* cell = wire.add_calls();
+    cell->set_number(call);
+    cell->set_done(record.done);
+    cell->set_ran(static_cast<std::uint32_t>(record.outcome.ran));
+    cell->set_kind(static_cast<std::uint32_t>(record.outcome.kind));
+    cell->set_status(record.outcome.status);
+    cell->set_content_type(record.outcome.content_type);
+    cell->set_body(record.outcome.body);
+  }
+}
+
+}  // namespace
+
+void to_wire(const QueuedRequest& item, Millis now, proto::QueueItem& wire) {
+  wire.set_request(item.key.request);
+  wire.set_cell(item.cell);
+  wire.set_model(item.model);
+  wire.set_caller(item.caller);
+  wire.set_rank(item.rank);
+  wire.set_prompt_tokens(item.prompt_tokens);
+  wire.set_waited_ms(
+      static_cast<std::uint32_t>(std::max<Millis>(0, now - item.queued_at)));
+  wire.set_fingerprint(item.fingerprint);
+  for (const std::uint64_t prefix : item.prefixes) wire.add_prefixes(prefix);
+  for (const std::string& id : item.excluded) wire.add_excluded(id);
+}
+
+QueuedRequest from_wire(const proto::QueueItem& wire, const std::string& vm,
+                        std::uint64_t incarnation, Millis now) {
+  QueuedRequest item;
+  item.key = {vm, incarnation, wire.request()};
+  item.cell = wire.cell();
+  item.model = wire.model();
+  item.caller = wire.caller();
+  item.rank = wire.rank();
+  item.prompt_tokens = wire.prompt_tokens();
+  item.queued_at = now - wire.waited_ms();
+  item.fingerprint = wire.fingerprint();
+  item.prefixes.assign(wire.prefixes().begin(), wire.prefixes().end());
+  item.excluded.assign(wire.excluded().begin(), wire.excluded().end());
+  return item;
+}
+
+void to_wire(const RunProgress& progress, Millis now, proto::Progress& wire) {
+  wire.set_request(progress.item.key.request);
+  wire.set_endpoint(progress.endpoint);
+  wire.set_produced(progress.produced);
+  wire.set_state(static_cast<std::uint32_t>(progress.state));
+  to_wire(progress.item, now, *wire.mutable_item());
+}
+
+EntryReported report_from(const proto::Envelope& envelope, Millis now) {
+  const proto::EntryReport& report = envelope.report();
+  EntryReported event;
+  event.vm = envelope.vm();
+  event.incarnation = envelope.incarnation();
+  event.full = report.full();
+  for (const proto::QueueItem& item : report.enqueue()) {
+    event.enqueue.push_back(from_wire(item, event.vm, event.incarnation, now));
+  }
+  for (const proto::Progress& wire : report.progress()) {
+    RunProgress progress;
+    progress.item = from_wire(wire.item(), event.vm, event.incarnation, now);
+    progress.item.key.request = wire.request();
+    progress.endpoint = wire.endpoint();
+    progress.produced = wire.produced();
+    progress.state =
+        static_cast<RunState>(std::min(wire.state(), kMostRunState));
+    event.progress.push_back(std::move(progress));
+  }
+  event.dropped.assign(report.dropped().begin(), report.dropped().end());
+  return event;
+}
+
+void to_wire(const VmInfo& info, proto::VmRecord& wire) {
+  wire.set_vm(info.vm);
+  wire.set_zone(info.zone);
+  wire.set_region(info.region);
+  wire.set_address(info.address);
+  wire.set_http_port(info.http_port);
+  wire.set_entry_port(info.entry_port);
+  wire.set_dispatch_port(info.dispatch_port);
+  wire.set_incarnation(info.incarnation);
+  wire.set_leaving(info.leaving);
+}
+
+VmInfo from_wire(const proto::VmRecord& wire) {
+  VmInfo info;
+  info.vm = wire.vm();
+  info.zone = wire.zone();
+  info.region = wire.region();
+  info.address = wire.address();
+  info.http_port = wire.http_port();
+  info.entry_port = wire.entry_port();
+  info.dispatch_port = wire.dispatch_port();
+  info.incarnation = wire.incarnation();
+  info.leaving = wire.leaving();
+  return info;
+}
+
+void to_wire(const HandSessions& hand, proto::SessionHandOver& wire) {
+  wire.set_home(hand.origin.home);
+  wire.set_incarnation(hand.origin.incarnation);
+  for (std::size_t i = 0; i < hand.numbers.size(); ++i) {
+    to_cell(hand.numbers[i], hand.sessions[i], *wire.add_sessions());
+  }
+}
+
+SessionsArrived sessions_from(const proto::SessionHandOver& wire,
+                              const std::string& from, Millis now) {
+  SessionsArrived event;
+  event.from = from;
+  event.home = wire.home();
+  event.incarnation = wire.incarnation();
+  for (const proto::SessionCell& cell : wire.sessions()) {
+    event.numbers.push_back(cell.session());
+    event.sessions.push_back(session_from(cell, now));
+  }
+  return event;
+}
+
+void to_wire(const LedgerPage& page,
+             const std::map<RefusalLine, std::uint64_t>& counts,
+             proto::RefusalMinute& wire) {
+  wire.set_vm(page.vm);
+  wire.set_incarnation(page.incarnation);
+  wire.set_minute(page.minute);
+  for (const auto& [line, count] : counts) {
+    proto::RefusalCell* cell = wire.add_cells();
+    cell->set_minute(page.minute);
+    cell->set_caller(line.caller);
+    cell->set_rank(line.rank);
+    cell->set_service(line.service);
+    cell->set_kind(refusal_name(line.kind));
+    cell->set_count(count);
+  }
+}
+
+void merge_wire(const proto::RefusalMinute& wire, RefusalLedger& ledger) {
+  std::map<RefusalLine, std::uint64_t> counts;
+  for (const proto::RefusalCell& cell : wire.cells()) {
+    for (std::uint32_t kind = 0; kind <= kMostRefusalKind; ++kind) {
+      if (cell.kind() != refusal_name(kind_from(kind))) continue;
+      counts[{cell.caller(), cell.rank(), cell.service(), kind_from(kind)}] =
+          cell.count();
+    }
+  }
+  merge_page(ledger, {wire.vm(), wire.incarnation(), wire.minute()}, counts);
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,4 @@
+// Entry point of the unit tests.
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
