Add the load tool and measurement scenarios; stop a dispatcher's busy loop

Cause: a dispatcher watched plain services, whose answers end at once, and reconnected without delay: one core of system time.

--- a/src/libperidotreach/dispatch_reducer.cc
+++ b/src/libperidotreach/dispatch_reducer.cc
@@ -24,7 +24,10 @@
           state.policy == DispatchPolicy::kBaseline};
 }
 
+// Only model services have load to watch; plain ones are called directly.
 bool is_first_choice(const DispatchState& state, const Cell& cell) {
+  const ServicePolicy* service = find_service(state.config, cell.service);
+  if (service == nullptr || !service->is_model) return false;
   const auto order = dispatchers_of(cell.id, cell.region, state.view);
   return !order.empty() && order.front() == state.vm;
 }
@@ -155,15 +158,22 @@
   apply_endpoint_down(*cell, context_of(state, effects), down);
 }
 
+// Opens the cells that this dispatcher should serve, so that load is known
+// before the first request comes.
+void open_own_cells(DispatchState& state, Effects& effects) {
+  for (const Cell& cell : cells_of(state.view)) {
+    if (state.cells.contains(cell.id)) continue;
+    if (is_first_choice(state, cell)) open_cell(state, cell.id, effects);
+  }
+}
+
 void apply(DispatchState& state, const DispatchViewChanged& change,
            Effects& effects) {
   state.view = change.view;
+  open_own_cells(state, effects);
   for (const Cell& cell : cells_of(state.view)) {
     const auto found = state.cells.find(cell.id);
-    if (found == state.cells.end()) {
-      if (is_first_choice(state, cell)) open_cell(state, cell.id, effects);
-      continue;
-    }
+    if (found == state.cells.end()) continue;
     found->second.cell = cell;
     apply_view(found->second, context_of(state, effects), state.view);
   }
@@ -176,6 +186,7 @@
   for (auto& [id, cell] : state.cells) {
     apply_view(cell, context_of(state, effects), state.view);
   }
+  open_own_cells(state, effects);
 }
 
 void forget_silent_entries(DispatchState& state) {
--- a/src/libperidotreach/entry_state.h
+++ b/src/libperidotreach/entry_state.h
@@ -63,6 +63,10 @@
   Millis caller_left_at = 0;
   bool delivered = false;
   bool resumed = false;
+  // Whether any attempt may have run, and what that was before the present
+  // attempt.
+  Ran exposure = Ran::kNo;
+  Ran exposure_before = Ran::kNo;
   std::set<std::string> tried_cells;
 };
 
--- a/src/libperidotreach/entry_streams.cc
+++ b/src/libperidotreach/entry_streams.cc
@@ -25,7 +25,7 @@
 constexpr Millis kOpenTimeout = 4 * kSecond;
 
 // Gap between tokens beyond which the excess counts as stall.
-constexpr Millis kStallGap = kSecond;
+constexpr Millis kStallGap = 500;
 
 // Progress is reported when the produced tokens have doubled, from here on.
 constexpr std::uint32_t kFirstProgressTokens = 128;
@@ -91,13 +91,15 @@
       {generation.item, generation.endpoint, generation.produced, run}});
 }
 
-// Removes the generation and answers its caller.
+// Removes the generation and answers its caller. "Not run" is only said if no
+// attempt can have run.
 void finish(const EntryContext& context, std::uint64_t request,
-            const FinishRequest& outcome) {
+            FinishRequest outcome) {
   EntryState& state = context.state;
   const auto found = state.generations.find(request);
   if (found == state.generations.end()) return;
   const Generation& generation = found->second;
+  if (outcome.ran == Ran::kNo) outcome.ran = generation.exposure;
   const bool refused = outcome.kind != RefusalKind::kNone &&
                        outcome.kind != RefusalKind::kCancelled;
   if (refused) {
@@ -158,6 +160,8 @@
   EntryState& state = context.state;
   Generation& generation = state.generations.at(request);
   generation.attempt += 1;
+  generation.exposure_before = generation.exposure;
+  if (generation.exposure == Ran::kNo) generation.exposure = Ran::kUnknown;
   generation.stage_at = state.now;
   generation.activity_at = state.now;
   const RankPolicy& rank = rank_of(state, generation.item.rank);
@@ -178,11 +182,8 @@
   const bool spent =
       generation.retries >= kMostRetries || !take_retry(state.retries);
   if (late || spent) {
-    const Ran ran = generation.attempt > 0 && run == RunState::kLost
-                        ? Ran::kUnknown
-                        : Ran::kNo;
     finish(context, request,
-           {request, RefusalKind::kEndpointLost, ran, kSecond});
+           {request, RefusalKind::kEndpointLost, Ran::kNo, kSecond});
     return;
   }
   generation.retries += 1;
@@ -437,6 +438,7 @@
   generation.arrived_at = state.now;
   generation.resumed = true;
   generation.delivered = true;
+  generation.exposure = Ran::kPartly;
   state.generations.emplace(event.request, std::move(generation));
   if (find_endpoint(state.view, event.endpoint) == nullptr) {
     finish(context, event.request,
@@ -521,6 +523,7 @@
     return;
   }
   generation->endpoint_incarnation = event.incarnation;
+  generation->exposure = Ran::kPartly;
   if (generation->stage == Stage::kConnecting) {
     generation->stage = Stage::kStreaming;
     report(context, *generation, RunState::kGranted);
@@ -560,6 +563,9 @@
 void on_closed(const EntryContext& context, const EndpointClosed& event) {
   Generation* generation = find_generation(context.state, event.request);
   if (generation == nullptr || generation->attempt != event.attempt) return;
+  const bool not_started =
+      event.kind == EndKind::kDeclined || event.kind == EndKind::kConnectFailed;
+  if (not_started) generation->exposure = generation->exposure_before;
   switch (event.kind) {
     case EndKind::kDeclined:
       if (!generation->resumed && !generation->delivered) {
--- /dev/null
+++ b/src/peridot-caller/summary.cc
@@ -0,0 +1,159 @@
+#include "peridot-caller/summary.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace peridotreach {
+namespace {
+
+namespace json = boost::json;
+
+// Figures of one group of requests.
+struct Group {
+  std::uint64_t offered = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t in_time = 0;
+  std::uint64_t late = 0;
+  std::uint64_t unanswered = 0;
+  std::uint64_t tokens = 0;
+  std::uint64_t good_tokens = 0;
+  std::uint64_t reconnects = 0;
+  std::uint64_t wrong = 0;
+  std::uint64_t joined = 0;
+  std::uint64_t untrue = 0;
+  double stall_ms = 0;
+  std::vector<float> first_token;
+  std::vector<float> gaps;
+  std::map<std::string, std::uint64_t> refused;
+};
+
+double percentile(std::vector<float>& values, double share) {
+  if (values.empty()) return 0;
+  const auto index =
+      static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + static_cast<long>(index),
+                   values.end());
+  return values[index];
+}
+
+void add(Group& group, const RequestRecord& record, double deadline) {
+  group.offered += 1;
+  group.tokens += record.tokens;
+  group.reconnects += record.reconnects;
+  group.wrong += record.wrong_order;
+  group.joined += record.joined;
+  group.untrue += record.untrue_refusal ? 1 : 0;
+  for (const float gap : record.gaps) {
+    if (gap > kStallGapMs) group.stall_ms += gap - kStallGapMs;
+  }
+  group.gaps.insert(group.gaps.end(), record.gaps.begin(), record.gaps.end());
+  if (record.first_token >= 0) {
+    group.first_token.push_back(
+        static_cast<float>(record.first_token - record.arrived));
+  }
+  const double waited = record.first_token >= 0
+                            ? record.first_token - record.arrived
+                            : record.ended - record.arrived;
+  // An answer or refusal counts as late from a second after the deadline; the
+  // refusal's way back takes part of it.
+  constexpr double kSlackMs = 1000;
+  if (record.ended < 0) group.unanswered += 1;
+  if (waited > deadline + kSlackMs) group.late += 1;
+  if (!record.completed) {
+    group.refused[record.refusal.empty() ? "open" : record.refusal] += 1;
+    return;
+  }
+  group.answered += 1;
+  if (waited > deadline) return;
+  group.in_time += 1;
+  group.good_tokens += record.tokens;
+}
+
+json::object figures(Group& group) {
+  json::object out;
+  out["offered"] = group.offered;
+  out["answered"] = group.answered;
+  out["in_time"] = group.in_time;
+  out["late"] = group.late;
+  out["unanswered"] = group.unanswered;
+  out["tokens"] = group.tokens;
+  out["good_tokens"] = group.good_tokens;
+  out["reconnects"] = group.reconnects;
+  out["tokens_wrong"] = group.wrong;
+  out["generations_joined"] = group.joined;
+  out["untrue_refusals"] = group.untrue;
+  out["stall_s"] = group.stall_ms / 1000;
+  for (const double share : {0.5, 0.95, 0.99}) {
+    const std::string name =
+        "p" + std::to_string(static_cast<int>(share * 100 + 0.5));
+    out["first_token_ms_" + name] = percentile(group.first_token, share);
+    out["token_gap_ms_" + name] = percentile(group.gaps, share);
+  }
+  json::object refused;
+  for (const auto& [kind, count] : group.refused) refused[kind] = count;
+  out["refused"] = std::move(refused);
+  return out;
+}
+
+json::object all_figures(std::map<std::string, Group>& groups) {
+  json::object out;
+  for (auto& [name, group] : groups) out[name] = figures(group);
+  return out;
+}
+
+void print_groups(const json::object& groups, std::string& text) {
+  for (const auto& group : groups) {
+    const json::object& row = group.value().as_object();
+    const auto number = [&](const char* name) {
+      return row.at(name).to_number<double>();
+    };
+    const std::string name(group.key());
+    char line[256];
+    std::snprintf(line, sizeof line,
+                  "%-22s %8.0f %8.0f %8.0f %9.0f %9.1f %9.1f %8.1f %8.2f\n",
+                  name.c_str(), number("offered"), number("answered"),
+                  number("in_time"), number("tokens"),
+                  number("first_token_ms_p50"), number("first_token_ms_p95"),
+                  number("token_gap_ms_p95"), number("stall_s"));
+    text += line;
+  }
+}
+
+}  // namespace
+
+json::object summarize(const std::vector<RequestRecord>& records,
+                       const std::map<std::string, double>& deadlines,
+                       double start, double warm_up) {
+  std::map<std::string, Group> by_rank;
+  std::map<std::string, Group> by_caller;
+  std::map<std::string, Group> by_both;
+  Group all;
+  for (const RequestRecord& record : records) {
+    if (record.arrived - start < warm_up) continue;
+    const auto found = deadlines.find(record.rank);
+    const double deadline = found == deadlines.end() ? 1e9 : found->second;
+    add(all, record, deadline);
+    add(by_rank[record.rank], record, deadline);
+    add(by_caller[record.caller], record, deadline);
+    add(by_both[record.rank + " " + record.caller], record, deadline);
+  }
+  json::object out;
+  out["all"] = figures(all);
+  out["by_rank"] = all_figures(by_rank);
+  out["by_caller"] = all_figures(by_caller);
+  out["by_rank_and_caller"] = all_figures(by_both);
+  return out;
+}
+
+std::string print_summary(const json::object& summary) {
+  char head[256];
+  std::snprintf(head, sizeof head, "%-22s %8s %8s %8s %9s %9s %9s %8s %8s\n",
+                "rank or caller", "offered", "answered", "in time", "tokens",
+                "ttft p50", "ttft p95", "gap p95", "stall s");
+  std::string text = head;
+  print_groups(summary.at("by_rank").as_object(), text);
+  print_groups(summary.at("by_caller").as_object(), text);
+  return text;
+}
+
+}  // namespace peridotreach
--- a/src/peridot-dispatch/endpoint_watch.cc
+++ b/src/peridot-dispatch/endpoint_watch.cc
@@ -122,9 +122,11 @@
       continue;
     }
     dead = false;
-    co_await read_reports(connection, *watch, post);
+    const bool any = co_await read_reports(connection, *watch, post);
     if (watch->stopped) co_return;
     post({monotonic_now(), EndpointDown{watch->endpoint, false}});
+    // An endpoint that answers without reports must not be asked in a loop.
+    if (!any) co_await sleep_for(kReconnectDelay);
   }
 }
 
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -73,14 +73,14 @@
 // know it.
 std::uint32_t draw_length(const std::string& prompt, double scale) {
   std::mt19937_64 random(hash_of(prompt));
-  double median = 200;
+  double median = 80;
   double spread = 1.0;
   if (prompt.find("kind=verdict") != std::string::npos) {
     median = 24;
     spread = 0.6;
   }
   if (prompt.find("kind=long") != std::string::npos) {
-    median = 600;
+    median = 300;
     spread = 1.2;
   }
   std::lognormal_distribution<double> draw(std::log(median), spread);
@@ -633,7 +633,7 @@
   auto known = peridotreach::standin::endpoint_settings();
   const std::vector<peridotreach::Setting> own = {
       {"models", SettingKind::kText, "", true, "Models, with commas"},
-      {"kv-capacity", SettingKind::kNumber, "24000", false,
+      {"kv-capacity", SettingKind::kNumber, "9000", false,
        "Memory for tokens"},
       {"most-batch", SettingKind::kNumber, "64", false, "Largest batch"},
       {"report-interval-ms", SettingKind::kNumber, "200", false,
