--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -253,7 +253,7 @@
               f"gap p95/99 {row['token_gap_ms_p95']:5.0f}/"
               f"{row['token_gap_ms_p99']:5.0f} stall {row['stall_s']:7.1f} "
               f"wrong {row['tokens_wrong']}/{row['generations_joined']}/"
-              f"{row['untrue_refusals']}", flush=True)
+              f"{row['untrue_refusals']} {row['refused']}", flush=True)
     print(f"{'':30} preemptions {figures['preemptions']}, dead engines "
           f"{figures['dead_engines']}", flush=True)
 
--- a/src/libperidotreach/cell_grants.cc
+++ b/src/libperidotreach/cell_grants.cc
@@ -84,26 +84,48 @@
       IssueGrant{item.key, choice.endpoint, kGrantLife, choice.reason});
 }
 
+// Returns whether taking a request from `rank` would leave it below its floor,
+// which would earn it the next grant at once.
+bool needs_its_grants(const std::vector<Candidate>& candidates,
+                      const std::vector<RankDemand>& demands,
+                      const std::string& rank) {
+  double tokens = 0;
+  double running = 0;
+  for (const RankDemand& demand : demands) {
+    tokens += demand.window_tokens;
+    running += demand.running;
+  }
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].policy->id != rank) continue;
+    RankDemand left = demands[i];
+    left.running -= 1;
+    return below_floor(left, tokens, running - 1);
+  }
+  return true;
+}
+
 // Takes back the latest grant of a less urgent rank none of whose tokens was
 // delivered, on an endpoint that could serve `item`.
-bool withdraw_for(CellState& cell, const CellContext& context,
-                  const QueuedRequest& item, std::uint32_t order) {
+void withdraw_for(CellState& cell, const CellContext& context,
+                  const QueuedRequest& item, std::uint32_t order,
+                  const std::vector<Candidate>& candidates,
+                  const std::vector<RankDemand>& demands) {
   RunningRequest* victim = nullptr;
   std::uint32_t victim_order = order;
   for (auto& [key, request] : cell.running) {
     if (request.started || request.withdrawn) continue;
     const RankPolicy* rank = find_rank(context.config, request.item.rank);
     if (rank == nullptr || rank->order <= victim_order) continue;
+    if (needs_its_grants(candidates, demands, rank->id)) continue;
     const auto endpoint = cell.endpoints.find(request.endpoint);
     if (endpoint == cell.endpoints.end()) continue;
     if (!may_serve(endpoint->second, item, context.now)) continue;
     victim = &request;
     victim_order = rank->order;
   }
-  if (victim == nullptr) return false;
+  if (victim == nullptr) return;
   victim->withdrawn = true;
   context.effects.emplace_back(IssueWithdrawal{victim->item.key});
-  return true;
 }
 
 bool grant_from_rank(CellState& cell, const CellContext& context,
@@ -133,18 +155,21 @@
 }
 
 // The rank first in order, if nothing of it fits, may take a grant back from
-// a less urgent one.
+// a less urgent one; one at a time.
 void withdraw_for_first(CellState& cell, const CellContext& context,
-                        const Candidate& first) {
+                        const std::vector<Candidate>& candidates,
+                        const std::vector<RankDemand>& demands,
+                        std::size_t first_index) {
+  const Candidate& first = candidates[first_index];
   const std::string caller = next_caller(
       first.queue->counters, waiting_callers(*first.queue, context.config));
   if (caller.empty()) return;
-  const QueuedRequest item = first.queue->by_caller[caller].front();
   const bool pending =
       std::any_of(cell.running.begin(), cell.running.end(),
                   [](const auto& entry) { return entry.second.withdrawn; });
   if (pending) return;
-  withdraw_for(cell, context, item, first.policy->order);
+  const QueuedRequest item = first.queue->by_caller[caller].front();
+  withdraw_for(cell, context, item, first.policy->order, candidates, demands);
 }
 
 bool grant_one(CellState& cell, const CellContext& context) {
@@ -165,7 +190,7 @@
     }
   }
   if (!order.empty()) {
-    withdraw_for_first(cell, context, candidates[order.front()]);
+    withdraw_for_first(cell, context, candidates, demands, order.front());
   }
   return false;
 }
@@ -244,9 +269,12 @@
   if (elapsed <= 0) return;
   for (auto& [rank, queue] : cell.ranks) {
     queue.window_tokens = decayed_window(queue.window_tokens, elapsed);
-    const double rate =
-        queue.grants_since_tick * kSecond / static_cast<double>(elapsed);
-    queue.grant_rate += kRateWeight * (rate - queue.grant_rate);
+    // Only a backlog shows what drains; an empty queue says nothing of it.
+    if (queue.waiting > 0) {
+      const double rate =
+          queue.grants_since_tick * kSecond / static_cast<double>(elapsed);
+      queue.grant_rate += kRateWeight * (rate - queue.grant_rate);
+    }
     queue.grants_since_tick = 0;
   }
   cell.memory_margin =
--- a/src/libperidotreach/endpoint_health.cc
+++ b/src/libperidotreach/endpoint_health.cc
@@ -8,7 +8,11 @@
 constexpr Millis kFirstEjection = 2 * kSecond;
 constexpr std::uint32_t kMostDoublings = 5;
 constexpr double kSlowRatio = 2;
-constexpr std::uint32_t kSlowReports = 3;
+constexpr std::uint32_t kLeastReports = 8;
+constexpr double kRatioWeight = 0.15;
+
+// Ratio counted for one report at most; a single pause ejects nobody.
+constexpr double kMostRatio = 6;
 
 }  // namespace
 
@@ -24,16 +28,15 @@
   health.ejected_until = now + (kFirstEjection << doublings);
   health.losses += 1;
   health.probing = false;
-  health.slow_reports = 0;
+  health.reports = 0;
+  health.speed_ratio = 1;
 }
 
 bool note_speed(EndpointHealth& health, double ratio) {
-  if (ratio < kSlowRatio) {
-    health.slow_reports = 0;
-    return false;
-  }
-  health.slow_reports += 1;
-  return health.slow_reports >= kSlowReports;
+  health.reports += 1;
+  health.speed_ratio +=
+      kRatioWeight * (std::min(ratio, kMostRatio) - health.speed_ratio);
+  return health.reports >= kLeastReports && health.speed_ratio >= kSlowRatio;
 }
 
 void note_success(EndpointHealth& health) {
--- a/src/libperidotreach/endpoint_health.h
+++ b/src/libperidotreach/endpoint_health.h
@@ -18,7 +18,8 @@
 struct EndpointHealth {
   bool reachable = false;
   std::uint32_t losses = 0;
-  std::uint32_t slow_reports = 0;
+  std::uint32_t reports = 0;
+  double speed_ratio = 1;
   Millis ejected_until = 0;
   bool probing = false;
 
@@ -27,7 +28,8 @@
 
 template <class F>
 auto inspect(F& f, EndpointHealth& x) {
-  return f(x.reachable, x.losses, x.slow_reports, x.ejected_until, x.probing);
+  return f(x.reachable, x.losses, x.reports, x.speed_ratio, x.ejected_until,
+           x.probing);
 }
 
 // Whether an endpoint takes new work.
@@ -40,7 +42,8 @@
 void eject(EndpointHealth& health, Millis now);
 
 // Notes one report; `ratio` is the step time divided by the cell's median at
-// the same batch. Returns whether the endpoint should be ejected as slow.
+// the same batch. Single steps vary with the prompts they read, so the ratio
+// is smoothed. Returns whether the endpoint should be ejected as slow.
 bool note_speed(EndpointHealth& health, double ratio);
 
 // Notes a finished request, which ends probing.
--- a/src/libperidotreach/entry_streams.cc
+++ b/src/libperidotreach/entry_streams.cc
@@ -91,6 +91,14 @@
       {generation.item, generation.endpoint, generation.produced, run}});
 }
 
+// Drops the connection of the present attempt; what it still says is of an
+// older attempt from here on.
+void close_attempt(const EntryContext& context, Generation& generation) {
+  context.effects.emplace_back(
+      CloseEndpoint{generation.item.key.request, generation.attempt});
+  generation.attempt += 1;
+}
+
 // Removes the generation and answers its caller. "Not run" is only said if no
 // attempt can have run.
 void finish(const EntryContext& context, std::uint64_t request,
@@ -215,7 +223,7 @@
   }
   generation.reconnects += 1;
   explain(context, request, "resume", cause + " at " + generation.endpoint);
-  context.effects.emplace_back(CloseEndpoint{request, generation.attempt});
+  close_attempt(context, generation);
   if (generation.reconnects == 1) {
     open_endpoint(context, request);
     return;
@@ -335,11 +343,11 @@
 }
 
 void tend_running(const EntryContext& context, std::uint64_t request,
-                  const Generation& generation) {
+                  Generation& generation) {
   const Millis now = context.state.now;
   if (generation.retry_at > 0) {
     if (now < generation.retry_at) return;
-    context.state.generations.at(request).retry_at = 0;
+    generation.retry_at = 0;
     open_endpoint(context, request);
     return;
   }
@@ -347,17 +355,16 @@
   const Millis bound = connecting ? kOpenTimeout : kConnectionSilence;
   if (now - generation.activity_at < bound) return;
   if (connecting && generation.generation.empty()) {
-    context.effects.emplace_back(CloseEndpoint{request, generation.attempt});
+    close_attempt(context, generation);
     retry_elsewhere(context, request, RunState::kLost, "no_answer");
     return;
   }
   reconnect(context, request, "silent_connection");
 }
 
-void cancel_running(const EntryContext& context, const Generation& generation,
+void cancel_running(const EntryContext& context, Generation& generation,
                     bool only_unwatched) {
-  const std::uint64_t request = generation.item.key.request;
-  context.effects.emplace_back(CloseEndpoint{request, generation.attempt});
+  close_attempt(context, generation);
   if (generation.generation.empty()) return;
   context.effects.emplace_back(CancelGeneration{
       generation.endpoint, generation.generation, only_unwatched});
@@ -518,7 +525,7 @@
   const bool known =
       generation->endpoint_incarnation != 0 && !generation->generation.empty();
   if (known && generation->endpoint_incarnation != event.incarnation) {
-    context.effects.emplace_back(CloseEndpoint{event.request, event.attempt});
+    close_attempt(context, *generation);
     lose_endpoint(context, event.request, "restarted");
     return;
   }
@@ -551,7 +558,7 @@
     return;
   }
   if (result.failed) {
-    context.effects.emplace_back(CloseEndpoint{event.request, event.attempt});
+    close_attempt(context, *generation);
     report(context, *generation, RunState::kLost);
     finish(context, event.request,
            {event.request, RefusalKind::kEndpointLost, Ran::kPartly, 0});
@@ -604,8 +611,7 @@
   if (generation == nullptr) return;
   if (!event.cancelled && generation->stage != Stage::kQueued) {
     if (generation->resumed) {
-      context.effects.emplace_back(
-          CloseEndpoint{event.request, generation->attempt});
+      close_attempt(context, *generation);
       finish(context, event.request,
              {event.request, RefusalKind::kCancelled, Ran::kPartly, 0});
       return;
@@ -632,7 +638,7 @@
     requests.push_back(request);
   }
   for (const std::uint64_t request : requests) {
-    const Generation* generation = find_generation(state, request);
+    Generation* generation = find_generation(state, request);
     if (generation == nullptr) continue;
     if (generation->caller_left_at > 0 &&
         state.now - generation->caller_left_at > kCallerAbsence) {
