--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -7,6 +7,7 @@
   libboost1.81-dev libboost-json1.81-dev liblog4cplus-dev libsodium-dev
   libxxhash-dev catch2 libtrompeloeil-cpp-dev libbenchmark-dev spin python3
 )
+command -v npm >/dev/null || packages+=(nodejs npm)
 missing=()
 for package in "${packages[@]}"; do
   state=$(dpkg-query -W -f='${Status}' "$package" 2>/dev/null || true)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,5 @@
 cd "$(dirname "$0")/.."
 scripts/packages.sh
 scripts/build.sh
-if command -v npm >/dev/null; then
-  (cd tests/clients && npm ci --no-audit --no-fund --loglevel=error)
-fi
+(cd tests/clients && npm ci --no-audit --no-fund --loglevel=error)
 ctest --test-dir build --output-on-failure --timeout 600
--- a/src/libperidotreach/cells.cc
+++ b/src/libperidotreach/cells.cc
@@ -75,6 +75,7 @@
   }
   std::sort(scored.rbegin(), scored.rend());
   std::vector<std::string> order;
+  order.reserve(scored.size());
   for (const auto& entry : scored) order.push_back(std::get<2>(entry));
   return order;
 }
--- a/src/libperidotreach/endpoint_health.cc
+++ b/src/libperidotreach/endpoint_health.cc
@@ -1,6 +1,7 @@
 #include "libperidotreach/endpoint_health.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace peridotreach {
 namespace {
@@ -48,7 +49,8 @@
 
 double median(std::vector<double> values) {
   if (values.empty()) return 0;
-  const auto middle = values.begin() + static_cast<long>(values.size() / 2);
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
   std::nth_element(values.begin(), middle, values.end());
   return *middle;
 }
--- a/src/libperidotreach/entry_reducer.cc
+++ b/src/libperidotreach/entry_reducer.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Minutes of the ledger kept in memory.
-constexpr std::uint64_t kLedgerMinutes = 24 * 60;
+constexpr std::uint64_t kLedgerMinutes = 1440;
 
 void apply(const EntryContext& context, const GenerationRequested& event) {
   on_generation(context, event);
@@ -73,6 +73,7 @@
 
 void apply(const EntryContext& context, const EntryViewChanged& event) {
   context.state.view = event.view;
+  context.state.cells = cells_of(event.view);
 }
 
 void apply(const EntryContext& context, const EntryConfigChanged& event) {
--- a/src/libperidotreach/entry_state.h
+++ b/src/libperidotreach/entry_state.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "libperidotreach/cells.h"
 #include "libperidotreach/fleet_config.h"
 #include "libperidotreach/fleet_view.h"
 #include "libperidotreach/queued_request.h"
@@ -113,6 +114,8 @@
   EntryIdentity self;
   FleetConfig config;
   FleetView view;
+  // The cells that follow from the view, computed when it changes.
+  std::vector<Cell> cells;
   std::map<std::uint64_t, Generation> generations;
   std::map<std::pair<std::string, std::string>, std::uint64_t> by_key;
   std::map<std::uint64_t, Call> calls;
--- a/src/libperidotreach/entry_streams.cc
+++ b/src/libperidotreach/entry_streams.cc
@@ -44,32 +44,17 @@
   return rank == nullptr ? kUnknown : *rank;
 }
 
-// Cells of the service, those of this region first; an empty list if no
-// endpoint of it is known.
-std::vector<Cell> cells_for(const EntryState& state,
-                            const std::string& service) {
-  std::vector<Cell> own;
-  std::vector<Cell> others;
-  for (Cell& cell : cells_of(state.view)) {
-    if (cell.service != service) continue;
-    const bool near = cell.region == state.self.region;
-    (near ? own : others).push_back(std::move(cell));
-  }
-  own.insert(own.end(), others.begin(), others.end());
-  return own;
-}
-
 // Chooses the untried cell that the request's prefix hashes to, so that equal
 // prefixes meet one cache.
 std::string choose_cell(const EntryState& state, const Generation& generation) {
-  const auto cells = cells_for(state, generation.service);
   const std::uint64_t seed = generation.item.prefixes.empty()
                                  ? generation.item.fingerprint
                                  : generation.item.prefixes.front();
   std::string best;
   std::uint64_t best_score = 0;
   bool best_near = false;
-  for (const Cell& cell : cells) {
+  for (const Cell& cell : state.cells) {
+    if (cell.service != generation.service) continue;
     if (generation.tried_cells.contains(cell.id)) continue;
     const bool near = cell.region == state.self.region;
     if (!best.empty() && best_near && !near) continue;
--- a/src/libperidotreach/refusal_ledger.cc
+++ b/src/libperidotreach/refusal_ledger.cc
@@ -31,6 +31,7 @@
     }
   }
   std::vector<RefusalRow> rows;
+  rows.reserve(refusals.size());
   for (const auto& [line, count] : refusals) {
     rows.push_back({line, count, minutes[line].size()});
   }
--- a/src/libperidotreach/rollout.cc
+++ b/src/libperidotreach/rollout.cc
@@ -11,7 +11,10 @@
   const std::string base = place.model + "@" + place.version;
   std::vector<std::string> runs{base};
   for (const std::string& adapter : place.adapters) {
-    runs.push_back(base + "+" + adapter);
+    std::string run = base;
+    run += '+';
+    run += adapter;
+    runs.push_back(std::move(run));
   }
   std::sort(runs.begin(), runs.end());
   return runs;
@@ -59,7 +62,7 @@
     chosen = it;
     break;
   }
-  const std::string endpoint = *chosen;
+  std::string endpoint = *chosen;
   left.erase(chosen);
   return endpoint;
 }
--- a/src/peridot-caller/address_book.cc
+++ b/src/peridot-caller/address_book.cc
@@ -14,8 +14,8 @@
 
 }  // namespace
 
-AddressBook::AddressBook(asio::io_context& io, std::vector<std::string> seeds,
-                         std::string key)
+AddressBook::AddressBook(asio::io_context& io,
+                         const std::vector<std::string>& seeds, std::string key)
     : io_(io), key_(std::move(key)) {
   for (const std::string& seed : seeds) {
     const Result<HttpTarget> target = parse_url(seed);
--- a/src/peridot-caller/address_book.h
+++ b/src/peridot-caller/address_book.h
@@ -15,7 +15,7 @@
 // one's lifetime is over.
 class AddressBook {
  public:
-  AddressBook(asio::io_context& io, std::vector<std::string> seeds,
+  AddressBook(asio::io_context& io, const std::vector<std::string>& seeds,
               std::string key);
 
   // Returns an address; `turn` spreads requests over the list.
--- a/src/peridot-caller/main.cc
+++ b/src/peridot-caller/main.cc
@@ -53,7 +53,9 @@
     std::uint64_t number = 0;
     while (at < static_cast<double>(stream.stop)) {
       const double wait = start_ + at - precise_now();
-      if (wait >= 1) co_await sleep_for(static_cast<Millis>(wait));
+      if (wait >= 1) {
+        co_await sleep_for(static_cast<Millis>(wait));
+      }
       send(stream, seed, ++number, random());
       at += gap(random);
     }
--- a/src/peridot-caller/summary.cc
+++ b/src/peridot-caller/summary.cc
@@ -1,6 +1,8 @@
 #include "peridot-caller/summary.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstddef>
 #include <cstdio>
 
 namespace peridotreach {
@@ -31,7 +33,8 @@
   if (values.empty()) return 0;
   const auto index =
       static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(), values.begin() + static_cast<long>(index),
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(index),
                    values.end());
   return values[index];
 }
@@ -84,8 +87,7 @@
   out["untrue_refusals"] = group.untrue;
   out["stall_s"] = group.stall_ms / 1000;
   for (const double share : {0.5, 0.95, 0.99}) {
-    const std::string name =
-        "p" + std::to_string(static_cast<int>(share * 100 + 0.5));
+    const std::string name = "p" + std::to_string(std::lround(share * 100));
     out["first_token_ms_" + name] = percentile(group.first_token, share);
     out["token_gap_ms_" + name] = percentile(group.gaps, share);
   }
--- a/src/peridot-dispatch/dispatch_node.cc
+++ b/src/peridot-dispatch/dispatch_node.cc
@@ -70,7 +70,7 @@
 }
 
 Result<std::uint16_t> DispatchNode::start() {
-  const auto bound = link_.start(
+  auto bound = link_.start(
       settings_.text("address"),
       static_cast<std::uint16_t>(settings_.number("control-port")),
       [this](const std::string& peer, const proto::Envelope& message) {
--- a/src/peridot-dispatch/endpoint_watch.cc
+++ b/src/peridot-dispatch/endpoint_watch.cc
@@ -126,7 +126,9 @@
     if (watch->stopped) co_return;
     post({monotonic_now(), EndpointDown{watch->endpoint, false}});
     // An endpoint that answers without reports must not be asked in a loop.
-    if (!any) co_await sleep_for(kReconnectDelay);
+    if (!any) {
+      co_await sleep_for(kReconnectDelay);
+    }
   }
 }
 
--- a/src/peridot-entry/entry_node.cc
+++ b/src/peridot-entry/entry_node.cc
@@ -108,7 +108,7 @@
 EntryNode::~EntryNode() = default;
 
 Result<std::uint16_t> EntryNode::start() {
-  const auto bound = link_.start(
+  auto bound = link_.start(
       settings_.text("address"), port_of(settings_, "control-port"),
       [this](const std::string& peer, const proto::Envelope& message) {
         on_message(peer, message);
