Check reducers' traces against the models' rules; end every abandoned attempt

Change: giving an attempt up closes it and ends its number. A steward's read that crossed its order no longer ends the change.

--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -205,6 +205,68 @@
     return total
 
 
+def process_costs(fleet):
+    """Processor seconds and memory of the system's processes, by role."""
+    costs = {}
+    ticks = os.sysconf("SC_CLK_TCK")
+    for process in fleet.state["processes"]:
+        if process["role"] not in ("entry", "dispatch", "steward"):
+            continue
+        stat = pathlib.Path(f"/proc/{process['pid']}/stat").read_text()
+        fields = stat.rsplit(") ", 1)[1].split()
+        status = pathlib.Path(f"/proc/{process['pid']}/status").read_text()
+        resident = next(int(line.split()[1]) for line in status.splitlines()
+                        if line.startswith("RssAnon"))
+        cost = costs.setdefault(process["role"],
+                                {"cpu_s": 0.0, "anonymous_kb_most": 0})
+        cost["cpu_s"] += (int(fields[11]) + int(fields[12])) / ticks
+        cost["anonymous_kb_most"] = max(cost["anonymous_kb_most"], resident)
+    return costs
+
+
+def run_relay(deployment, seconds):
+    """The same load on the engines directly and through one entry."""
+    results = {}
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = fleets.up(deployment, folder, entries=1)
+        try:
+            for way in ("direct", "entry"):
+                entries = ([e["url"] for e in fleet.by_role("engine")]
+                           if way == "direct" else fleet.state["entries"])
+                scenario = Scenario(deployment, seconds)
+                scenario.add_steady()
+                before = process_costs(fleet)["entry"]["cpu_s"]
+                path = pathlib.Path(folder) / "workload.json"
+                output = pathlib.Path(folder) / "figures.json"
+                path.write_text(json.dumps({
+                    "entries": entries, "seed": 7, "duration_s": seconds,
+                    "drain_s": 20, "warm_up_s": 2,
+                    "deadlines_ms": scenario.deadlines,
+                    "streams": scenario.streams}))
+                subprocess.run([str(fleets.BUILD / "peridot-caller"),
+                                f"--workload={path}", f"--output={output}"],
+                               check=True, stdout=subprocess.DEVNULL)
+                row = json.loads(output.read_text())["all"]
+                costs = process_costs(fleet)["entry"]
+                row["entry_cpu_s"] = costs["cpu_s"] - before
+                row["entry_anonymous_kb"] = costs["anonymous_kb_most"]
+                row["control"] = control_bytes(fleet)
+                results[way] = row
+                print(f"relay {way}: tokens {row['tokens']} first token ms "
+                      f"{row['first_token_ms_p50']:.1f}/"
+                      f"{row['first_token_ms_p95']:.1f}/"
+                      f"{row['first_token_ms_p99']:.1f} gap ms "
+                      f"{row['token_gap_ms_p50']:.1f}/"
+                      f"{row['token_gap_ms_p95']:.1f}/"
+                      f"{row['token_gap_ms_p99']:.1f} entry cpu s "
+                      f"{row['entry_cpu_s']:.2f} memory kB "
+                      f"{row['entry_anonymous_kb']}", flush=True)
+        finally:
+            fleets.stop_processes(list(reversed(fleet.state["processes"])),
+                                  timeout=0.5)
+    return results
+
+
 def run_scenario(name, deployment, policy, seconds, entries=3):
     scenario = Scenario(deployment, seconds)
     SCENARIOS[name](scenario)
@@ -233,6 +295,7 @@
             figures = json.loads(output.read_text())
             figures.update(engine_stats(fleet))
             figures["control"] = control_bytes(fleet)
+            figures["costs"] = process_costs(fleet)
         finally:
             fleets.stop_processes(list(reversed(fleet.state["processes"])),
                                   timeout=0.5)
@@ -255,7 +318,9 @@
               f"wrong {row['tokens_wrong']}/{row['generations_joined']}/"
               f"{row['untrue_refusals']} {row['refused']}", flush=True)
     print(f"{'':30} preemptions {figures['preemptions']}, dead engines "
-          f"{figures['dead_engines']}", flush=True)
+          f"{figures['dead_engines']}, control bytes "
+          f"{figures['control']['bytes']}, costs {figures['costs']}",
+          flush=True)
 
 
 def main():
@@ -274,6 +339,19 @@
     target = pathlib.Path(options.output)
     results = json.loads(target.read_text()) if target.exists() else []
     for name in names:
+        if name in ("capacity", "recovery"):
+            script = fleets.ROOT / "scripts" / f"{name}.py"
+            subprocess.run([sys.executable, str(script)], check=True)
+            continue
+        if name == "relay":
+            figures = {"scenario": "relay", "deployment": options.deployment,
+                       "policy": "full",
+                       "ways": run_relay(options.deployment,
+                                         options.seconds)}
+            results = [r for r in results if r["scenario"] != "relay"]
+            target.write_text(json.dumps(results + [figures], indent=1))
+            results.append(figures)
+            continue
         if name not in SCENARIOS:
             sys.exit(f"no scenario {name}; there are {', '.join(SCENARIOS)}")
         for policy in policies:
--- a/src/libperidotreach/entry_streams.cc
+++ b/src/libperidotreach/entry_streams.cc
@@ -234,6 +234,7 @@
   Generation& generation = state.generations.at(request);
   report(context, generation, run);
   explain(context, request, "retry", cause + " at " + generation.endpoint);
+  close_attempt(context, generation);
   const bool late = state.now >= generation.start_by;
   const bool spent =
       generation.retries >= kMostRetries || !take_retry(state.retries);
@@ -397,7 +398,6 @@
   const Millis bound = connecting ? kOpenTimeout : kConnectionSilence;
   if (now - generation.activity_at < bound) return;
   if (connecting && generation.generation.empty()) {
-    close_attempt(context, generation);
     retry_elsewhere(context, request, RunState::kLost, "no_answer");
     return;
   }
@@ -574,7 +574,6 @@
   const bool known =
       generation->endpoint_incarnation != 0 && !generation->generation.empty();
   if (known && generation->endpoint_incarnation != event.incarnation) {
-    close_attempt(context, *generation);
     lose_endpoint(context, event.request, "restarted");
     return;
   }
--- a/src/libperidotreach/steward_reducer.cc
+++ b/src/libperidotreach/steward_reducer.cc
@@ -14,6 +14,9 @@
 constexpr Millis kSeekInterval = 4 * kSecond;
 constexpr Millis kReadInterval = 2 * kSecond;
 
+// Time that an order takes at most to show in an endpoint's state.
+constexpr Millis kOrderSettles = 5 * kSecond;
+
 // Returns the scopes that follow from the configuration.
 void refresh_scopes(StewardState& state) {
   for (const ServicePolicy& service : state.config.services) {
@@ -64,8 +67,15 @@
   EndpointRuns& runs = scope->present[event.endpoint];
   runs.reachable = event.reachable;
   if (!event.reachable) return;
-  runs.runs = event.runs;
-  std::sort(runs.runs.begin(), runs.runs.end());
+  std::vector<std::string> read = event.runs;
+  std::sort(read.begin(), read.end());
+  // A read that was on its way when the order went out shows the old state.
+  const auto order = scope->orders.find(event.endpoint);
+  const bool may_be_old = order != scope->orders.end() &&
+                          state.now - order->second < kOrderSettles &&
+                          read == runs.runs;
+  if (may_be_old && runs.changing) return;
+  runs.runs = std::move(read);
   // An endpoint that runs nothing is still loading.
   runs.changing = event.runs.empty();
 }
@@ -121,6 +131,7 @@
   for (const RolloutStep& step : next_steps(wanted, scope.present)) {
     scope.ordered_at = state.now;
     scope.present[step.endpoint].changing = true;
+    scope.orders[step.endpoint] = state.now;
     effects.emplace_back(SendOrder{step.endpoint, step.runs, scope.fencing});
     return;
   }
--- a/src/libperidotreach/steward_reducer.h
+++ b/src/libperidotreach/steward_reducer.h
@@ -34,6 +34,8 @@
   Millis read_at = -kMinute;
   Millis ordered_at = -kMinute;
   std::map<std::string, EndpointRuns> present;
+  // When each endpoint was ordered to change last.
+  std::map<std::string, Millis> orders;
 };
 
 // All state of one steward process.
--- a/src/peridot-steward/steward_node.cc
+++ b/src/peridot-steward/steward_node.cc
@@ -62,7 +62,7 @@
       reduce(std::move(state_), StewardEvent{monotonic_now(), std::move(body)});
   state_ = std::move(step.state);
   for (const StewardEffect& effect : step.effects) {
-    std::visit([this](const auto& one) { perform(one); }, effect);
+    std::visit([this](const auto& one) { this->perform(one); }, effect);
   }
 }
 
--- a/src/runtime/json_sheet.cc
+++ b/src/runtime/json_sheet.cc
@@ -105,7 +105,8 @@
   if (!faults.empty()) return faults;
   const auto status = google::protobuf::util::JsonStringToMessage(text, &sheet);
   if (!status.ok()) {
-    return {{"", std::string(status.message()), "correct the sheet"}};
+    const std::string message = status.ToString();
+    return {{"", message, "correct the sheet"}};
   }
   return check_sheet(sheet);
 }
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -70,17 +70,24 @@
   return value;
 }
 
+prometheus::Histogram& Metrics::histogram(
+    Histograms& known, prometheus::Family<prometheus::Histogram>& family,
+    const char* label, Measure measure, const std::string& value) {
+  prometheus::Histogram*& slot = known[{measure, value}];
+  if (slot == nullptr) {
+    slot = &family.Add({{"measure", measure_name(measure)}, {label, value}},
+                       buckets_of(measure));
+  }
+  return *slot;
+}
+
 void Metrics::observe(const Observe& observation) {
-  const std::string measure = measure_name(observation.measure);
-  const auto buckets = buckets_of(observation.measure);
-  by_rank_
-      .Add({{"measure", measure}, {"rank", bounded(ranks_, observation.rank)}},
-           buckets)
+  const Measure measure = observation.measure;
+  histogram(rank_histograms_, by_rank_, "rank", measure,
+            bounded(ranks_, observation.rank))
       .Observe(observation.value);
-  by_caller_
-      .Add({{"measure", measure},
-            {"caller", bounded(callers_, observation.caller)}},
-           buckets)
+  histogram(caller_histograms_, by_caller_, "caller", measure,
+            bounded(callers_, observation.caller))
       .Observe(observation.value);
 }
 
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -8,9 +8,10 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
-#include <memory>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "libperidotreach/entry_effect.h"
 #include "libperidotreach/refusal_ledger.h"
@@ -38,12 +39,23 @@
   std::string text() const;
 
  private:
+  // A histogram by measure and label value. Looking one up in its family
+  // costs more than observing it, so they are kept here.
+  using Histograms =
+      std::map<std::pair<Measure, std::string>, prometheus::Histogram*>;
+
+  prometheus::Histogram& histogram(
+      Histograms& known, prometheus::Family<prometheus::Histogram>& family,
+      const char* label, Measure measure, const std::string& value);
+
   // Returns `value`, or "other" once too many values of a label are in use.
   std::string bounded(std::set<std::string>& seen, const std::string& value);
 
   prometheus::Registry registry_;
   std::set<std::string> callers_;
   std::set<std::string> ranks_;
+  Histograms rank_histograms_;
+  Histograms caller_histograms_;
   prometheus::Family<prometheus::Histogram>& by_rank_;
   prometheus::Family<prometheus::Histogram>& by_caller_;
   prometheus::Family<prometheus::Counter>& refusals_;
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -38,8 +38,8 @@
 // The platform.
 class Platform {
  public:
-  explicit Platform(asio::io_context& io, std::int64_t weight_rate)
-      : io_(io), weight_rate_(static_cast<double>(weight_rate)) {
+  explicit Platform(std::int64_t weight_rate)
+      : weight_rate_(static_cast<double>(weight_rate)) {
     versions_.push_back({});
   }
 
@@ -308,7 +308,6 @@
     exchange.abandon();
   }
 
-  asio::io_context& io_;
   KeyValueStore store_;
   Faults faults_;
   std::vector<VmListVersion> versions_;
@@ -323,7 +322,7 @@
 int run(const Settings& settings) {
   start_log("standin-platform", "platform", LogLevel::kInfo);
   asio::io_context io(1);
-  Platform platform(io, settings.number("weight-rate"));
+  Platform platform(settings.number("weight-rate"));
   HttpLimits limits;
   limits.body_bytes = 2u << 20u;
   const auto port = start_http_server(
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -178,6 +178,16 @@
   CHECK(reported);
 }
 
+TEST_CASE("the connection of a request that is run anew says nothing more",
+          "[entry]") {
+  Entry entry;
+  const auto request = entry.start_generation();
+  const auto effects =
+      entry.apply(EndpointClosed{request, 1, EndKind::kBadAnswer});
+  CHECK(only<CloseEndpoint>(effects).size() == 1);
+  CHECK(relayed(entry.deliver(request, 1, 0, 3)) == 0);
+}
+
 TEST_CASE("two dispatchers that grant the same request do no harm", "[entry]") {
   Entry entry;
   const auto request = entry.start_generation();
--- /dev/null
+++ b/tests/property_test.cc
@@ -0,0 +1,325 @@
+// Seeded property tests: random but legal sequences of events, faults among
+// them, against the rules of the models and the reducers' own bookkeeping.
+
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <random>
+
+#include "tests/samples.h"
+#include "tests/spec_rules.h"
+
+namespace peridotreach {
+namespace {
+
+using samples::only;
+
+// Sequences run for each property, and steps in each.
+constexpr std::uint32_t kSequences = 150;
+constexpr int kSteps = 400;
+
+// Chooses an element of `from`.
+template <class T>
+const T& pick(std::mt19937_64& random, const std::vector<T>& from) {
+  return from[random() % from.size()];
+}
+
+// An engine that the entry reducer talks to: it knows generations by id and
+// repeats, delays, cuts and silences what it sends.
+class FaultyEngine {
+ public:
+  explicit FaultyEngine(std::mt19937_64& random) : random_(random) {}
+
+  void open(const OpenEndpoint& effect) {
+    Connection connection;
+    connection.effect = effect;
+    connection.generation = effect.generation.empty()
+                                ? "gen-" + std::to_string(++generations_)
+                                : effect.generation;
+    connection.next = effect.starting_after + 1;
+    connections_.push_back(connection);
+  }
+
+  // Returns one event of a random connection, old ones included.
+  bool next(samples::Entry& entry, std::vector<EntryEffect>& effects) {
+    if (connections_.empty()) return false;
+    Connection& connection = connections_[random_() % connections_.size()];
+    const auto request = connection.effect.request;
+    const auto attempt = connection.effect.attempt;
+    switch (random_() % 12) {
+      case 0:
+        effects = entry.apply(EndpointClosed{
+            request, attempt, static_cast<EndKind>(random_() % 5)});
+        return true;
+      case 1:
+        connection.next += 1;  // An event is lost with the connection.
+        return false;
+      case 2:
+        connection.next = std::max<std::int64_t>(0, connection.next - 2);
+        return false;
+      case 3:
+        effects = entry.apply(
+            EndpointOpened{request, attempt, 5 + random_() % 8 / 7});
+        return true;
+      default:
+        effects =
+            entry.apply(ItemsArrived{request, attempt, {item(connection)}});
+        return true;
+    }
+  }
+
+ private:
+  struct Connection {
+    OpenEndpoint effect;
+    std::string generation;
+    std::int64_t next = 0;
+  };
+
+  StreamItem item(Connection& connection) {
+    constexpr std::int64_t kLength = 12;
+    StreamItem item;
+    item.sequence = connection.next++;
+    item.kind = ItemKind::kToken;
+    if (item.sequence == 0) item.kind = ItemKind::kCreated;
+    if (item.sequence == kLength) item.kind = ItemKind::kCompleted;
+    if (item.kind != ItemKind::kToken) {
+      item.generation = connection.generation;
+    }
+    return item;
+  }
+
+  std::mt19937_64& random_;
+  std::vector<Connection> connections_;
+  std::uint64_t generations_ = 0;
+};
+
+TEST_CASE("streams keep the rules of their model under faults", "[property]") {
+  std::uint64_t relayed = 0;
+  for (std::uint32_t seed = 1; seed <= kSequences; ++seed) {
+    std::mt19937_64 random(seed);
+    samples::Entry entry;
+    FaultyEngine engine(random);
+    spec::StreamRules rules;
+    std::uint64_t number = 0;
+    for (int i = 0; i < kSteps; ++i) {
+      std::vector<EntryEffect> effects;
+      switch (random() % 10) {
+        case 0: {
+          GenerationRequested event;
+          event.request = ++number;
+          event.caller = "small";
+          event.rank = random() % 2 == 0 ? "urgent" : "bulk";
+          event.service = "model";
+          event.model = "writer";
+          event.fingerprint = number;
+          if (random() % 4 == 0) event.idempotency_key = "key";
+          effects = entry.apply(event);
+          break;
+        }
+        case 1:
+          effects = entry.apply(GrantArrived{
+              pick<std::string>(random, {"vm-1", "vm-2", "vm-3"}),
+              1 + random() % (number + 1),
+              pick<std::string>(random, {"engine-1", "engine-2", "gone"}), ""});
+          break;
+        case 2:
+          effects = entry.apply(
+              WithdrawalArrived{"vm-1", 1 + random() % (number + 1)});
+          break;
+        case 3:
+          effects = entry.pass(50 + static_cast<Millis>(random() % 1500));
+          break;
+        case 4:
+          effects = entry.apply(
+              CallerLeft{1 + random() % (number + 1), random() % 2 == 0});
+          break;
+        default:
+          if (!engine.next(entry, effects)) continue;
+          break;
+      }
+      for (const auto& open : only<OpenEndpoint>(effects)) engine.open(open);
+      relayed += only<RelayItems>(effects).size();
+      for (const std::string& fault : rules.step(effects)) {
+        FAIL("seed " << seed << " step " << i << ": " << fault);
+      }
+    }
+  }
+  std::cout << "streams: " << kSequences << " sequences, " << relayed
+            << " relays, 0 violations\n";
+  CHECK(relayed > 1000);
+}
+
+TEST_CASE("calls keep the rules of their model under faults", "[property]") {
+  std::uint64_t forwarded = 0;
+  for (std::uint32_t seed = 1; seed <= kSequences; ++seed) {
+    std::mt19937_64 random(seed);
+    samples::Entry entry;
+    spec::SessionRules rules;
+    const auto opened = entry.apply(SessionRequested{100000, "small"});
+    const std::uint64_t session = only<SessionOpened>(opened).at(0).session;
+    std::vector<std::uint64_t> running;
+    std::uint64_t number = 0;
+    bool stopped = false;
+    for (int i = 0; i < kSteps; ++i) {
+      std::vector<EntryEffect> effects;
+      switch (random() % 8) {
+        case 0:
+        case 1:
+        case 2: {
+          CallRequested event;
+          event.request = ++number;
+          event.caller = "small";
+          event.rank = "urgent";
+          event.service = "records";
+          event.home = "vm-1";
+          event.home_incarnation = random() % 9 == 0 ? 3 : 10;
+          event.session = session;
+          event.number = 1 + random() % 12;
+          rules.arrive(event);
+          effects = entry.apply(event);
+          break;
+        }
+        case 3:
+        case 4:
+        case 5: {
+          if (running.empty()) continue;
+          const std::size_t index = random() % running.size();
+          CallEnded ended;
+          ended.request = running[index];
+          ended.sent = random() % 3 != 0;
+          ended.answered = ended.sent && random() % 2 == 0;
+          ended.outcome = {Ran::kYes, RefusalKind::kNone, 200, "", "done"};
+          running.erase(running.begin() + static_cast<std::ptrdiff_t>(index));
+          rules.end(ended);
+          effects = entry.apply(ended);
+          break;
+        }
+        case 6:
+          effects = entry.pass(100);
+          break;
+        default:
+          if (random() % 40 != 0 || stopped) continue;
+          stopped = true;
+          effects = entry.apply(StopRequested{});
+          entry.apply(SuccessorRecorded{random() % 2 == 0, "vm-2"});
+          break;
+      }
+      for (const auto& forward : only<ForwardCall>(effects)) {
+        running.push_back(forward.request);
+        forwarded += 1;
+      }
+      for (const std::string& fault : rules.step(effects)) {
+        FAIL("seed " << seed << " step " << i << ": " << fault);
+      }
+    }
+  }
+  std::cout << "calls: " << kSequences << " sequences, " << forwarded
+            << " forwarded, 0 violations\n";
+  CHECK(forwarded > 1000);
+}
+
+// Returns what is wrong with the bookkeeping of a dispatcher.
+std::string bookkeeping_fault(const DispatchState& state) {
+  for (const auto& [id, cell] : state.cells) {
+    std::map<std::string, double> running;
+    for (const auto& [key, request] : cell.running) {
+      running[request.item.rank] += 1;
+    }
+    std::set<RequestKey> waiting;
+    for (const auto& [rank, queue] : cell.ranks) {
+      std::size_t count = 0;
+      for (const auto& [caller, items] : queue.by_caller) {
+        count += items.size();
+        for (const auto& item : items) {
+          if (!waiting.insert(item.key).second) return "queued twice";
+          if (cell.running.contains(item.key)) return "queued and running";
+        }
+      }
+      if (count != queue.waiting) return "the waiting are miscounted";
+      if (queue.running != running[rank]) return "the running are miscounted";
+    }
+    for (const auto& [name, endpoint] : cell.endpoints) {
+      for (const RequestKey& key : endpoint.running) {
+        if (!cell.running.contains(key)) return "a stale request on " + name;
+      }
+    }
+  }
+  return {};
+}
+
+TEST_CASE("dispatchers keep their books under faults", "[property]") {
+  std::uint64_t granted = 0;
+  for (std::uint32_t seed = 1; seed <= kSequences; ++seed) {
+    std::mt19937_64 random(seed);
+    samples::Dispatcher dispatcher;
+    dispatcher.start(4, samples::config(), 4000);
+    std::uint64_t number = 0;
+    std::map<std::uint64_t, std::string> grants;
+    for (int i = 0; i < kSteps; ++i) {
+      std::vector<DispatchEffect> effects;
+      const std::string engine = "engine-" + std::to_string(1 + random() % 4);
+      const std::uint64_t any = 1 + random() % (number + 1);
+      const auto item =
+          samples::request(any, any % 3 == 0 ? "small" : "large",
+                           any % 2 == 0 ? "urgent" : "bulk", dispatcher.now);
+      switch (random() % 9) {
+        case 0:
+        case 1:
+        case 2:
+          number += 1;
+          effects = dispatcher.enqueue(samples::request(
+              number, number % 3 == 0 ? "small" : "large",
+              number % 2 == 0 ? "urgent" : "bulk", dispatcher.now));
+          break;
+        case 3:
+          effects = dispatcher.progress(
+              item, engine, static_cast<std::uint32_t>(random() % 300),
+              static_cast<RunState>(random() % 5));
+          break;
+        case 4: {
+          EndpointLoad load = samples::idle_load(4000);
+          load.incarnation = 5 + random() % 10 / 9;
+          load.running = static_cast<double>(random() % 20);
+          load.preemptions = random() % 3;
+          load.leaving = random() % 8 == 0;
+          effects = dispatcher.apply(LoadReported{engine, load});
+          break;
+        }
+        case 5:
+          effects = dispatcher.apply(EndpointDown{engine, random() % 2 == 0});
+          break;
+        case 6:
+          effects = dispatcher.apply(
+              EntryReported{"vm-1", 1, random() % 5 == 0, {item}, {}, {any}});
+          break;
+        case 7:
+          dispatcher.apply(DispatchViewChanged{
+              samples::view(3 + static_cast<int>(random() % 2))});
+          break;
+        default:
+          effects = dispatcher.pass(100 + static_cast<Millis>(random() % 3000) /
+                                              100 * 100);
+          break;
+      }
+      granted += only<IssueGrant>(effects).size();
+      for (const auto& grant : only<IssueGrant>(effects)) {
+        const auto& endpoints =
+            dispatcher.state.cells.begin()->second.endpoints;
+        const auto found = endpoints.find(grant.endpoint);
+        if (found == endpoints.end()) continue;
+        if (found->second.info.leaving) {
+          FAIL("seed " << seed << " step " << i << ": granted on a leaving "
+                       << "endpoint");
+        }
+      }
+      const std::string fault = bookkeeping_fault(dispatcher.state);
+      if (!fault.empty())
+        FAIL("seed " << seed << " step " << i << ": " << fault);
+    }
+  }
+  std::cout << "dispatch: " << kSequences << " sequences, " << granted
+            << " grants, 0 violations\n";
+  CHECK(granted > 1000);
+}
+
+}  // namespace
+}  // namespace peridotreach
