--- a/bench/capacity_slopes.cc
+++ b/bench/capacity_slopes.cc
@@ -278,6 +278,23 @@
   }
 }
 
+// Bytes of one message of credits for `endpoints` endpoints.
+void measure_credits(json::array& points) {
+  for (const int endpoints : {1, 2, 4, 8}) {
+    proto::DispatchOrder order;
+    proto::CellCredits* cell = order.add_credits();
+    cell->set_cell(name_hash("model/r/0"));
+    for (int i = 0; i < endpoints; ++i) {
+      proto::Credit* credit = cell->add_credits();
+      credit->set_endpoint(name_hash("engine-" + std::to_string(i)));
+      credit->set_model(name_hash("writer"));
+      credit->set_count(5);
+    }
+    point(points, "credit_bytes_by_endpoint", endpoints,
+          static_cast<double>(order.ByteSizeLong()));
+  }
+}
+
 // Bytes of a node's heartbeats with `cells` cells in use.
 void measure_heartbeats(json::array& points) {
   for (const int cells : {1, 2, 4, 8}) {
@@ -306,6 +323,7 @@
   peridotreach::measure_dispatch_callers(points);
   peridotreach::measure_configuration(points);
   peridotreach::measure_messages(points);
+  peridotreach::measure_credits(points);
   peridotreach::measure_heartbeats(points);
   std::cout << boost::json::serialize(points) << "\n";
   return 0;
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -34,9 +34,12 @@
 CONFIG_POLLS = 1 / 4.0
 VM_LIST_POLLS = 1
 VM_LIST_POLL_BYTES = 160
+CREDIT_ENDPOINTS = 4
+CREDIT_INTERVAL = 1.0
+# Request and answer of a poll that finds no change, with their heads.
+CONFIG_POLL_BYTES = 560
 LEDGER_WRITES = 1 / 60
 STEWARD_CALLS = 1 / 3.0
-TCP_OVERHEAD = 40
 CONFIG_VALUE_KEPT = 64
 
 BUDGET_CPU = 0.012
@@ -152,8 +155,9 @@
         + 3 * page.at("view_bytes_by_vm", NODES))
 
     # Bytes a second of control, sent and received by a node.
-    heartbeat = page.at("heartbeat_bytes_per_s_by_cell", 1) + \
-        2 * HEARTBEATS * TCP_OVERHEAD
+    # Heads of messages: a cell in use hears from each entry some two times a
+    # second, and answers as often. Payload bytes; what TCP adds is not counted.
+    heartbeat = page.at("heartbeat_bytes_per_s_by_cell", 1)
     config = page.at("config_bytes_by_caller", CALLERS)
     figures["config_value"] = config
     figures["bytes_requests_credit"] = requests * page.at(
@@ -161,17 +165,19 @@
     figures["bytes_requests_grant"] = requests * page.at(
         "request_bytes_by_prefix", 4)
     figures["bytes_heartbeats"] = used_cells * heartbeat
+    figures["bytes_credits"] = used_cells * page.at(
+        "credit_bytes_by_endpoint", CREDIT_ENDPOINTS) / CREDIT_INTERVAL
     figures["bytes_config_full"] = changes * config * 4 / 3
     figures["bytes_config_delta"] = changes * 150
     figures["bytes_view"] = view_changes * 80 * 2
     figures["bytes_vm_list"] = VM_LIST_POLLS * VM_LIST_POLL_BYTES
-    figures["bytes_config_poll"] = CONFIG_POLLS * config * 4 / 3
+    figures["bytes_config_poll"] = CONFIG_POLLS * CONFIG_POLL_BYTES
     figures["bytes_load"] = cells / NODES * CELL * LOAD_REPORTS * 230
     figures["used_cells"] = used_cells
     figures["entries_of_cell"] = entries_of_cell
     for kind in ("credit", "grant"):
         figures[f"bytes_{kind}"] = sum(figures[name] for name in (
-            f"bytes_requests_{kind}", "bytes_heartbeats",
+            f"bytes_requests_{kind}", "bytes_credits", "bytes_heartbeats",
             "bytes_config_full", "bytes_view", "bytes_vm_list",
             "bytes_config_poll", "bytes_load"))
 
@@ -218,6 +224,9 @@
     values["cpu_verdict"] = verdict(figures["control_core"], BUDGET_CPU)
     values["cpu_cell_verdict"] = verdict(figures["control_core_in_cell"],
                                          BUDGET_CPU)
+    values["CALLERS_TEXT"] = str(CALLERS)
+    values["dispatch_flood_slope"] = \
+        f"{lines['dispatch_flood_us_by_caller'][1]:.2f}"
     values["memory_mb"] = f"{(figures['entry_bytes'] + figures['dispatch_bytes']) / 1e6:.1f}"
     values["memory_verdict"] = verdict(
         figures["entry_bytes"] + figures["dispatch_bytes"], BUDGET_MEMORY)
--- a/scripts/recovery.py
+++ b/scripts/recovery.py
@@ -164,6 +164,11 @@
     return [status(fleet, url)["revision"] for url in fleet.state["entries"]]
 
 
+def stored_revision(fleet):
+    history = json.loads(ctl(fleet, "history", "--json").stdout)
+    return max(int(row["revision"]) for row in history)
+
+
 def ctl(fleet, *words):
     """Runs peridotctl and returns the finished process."""
     return subprocess.run(
@@ -326,6 +331,9 @@
     check = Check("outage-serves-on")
     url = fleet.state["entries"][0]
     key = next(iter(fleet.state["keys"].values()))
+    # What only a killed VM knew cannot be had while the store is down, so the
+    # outage begins when all nodes are at the store's revision.
+    wait_for(lambda: min(revisions(fleet)) >= stored_revision(fleet))
     before = revisions(fleet)
     fault(fleet, down=True)
     time.sleep(1)
@@ -351,6 +359,9 @@
     took = wait_for(lambda: status(fleet, fresh)["revision"] >= max(before))
     check.must(took is not None, "a VM started in the outage has no sheet")
     check.figures["boot_in_outage_s"] = took
+    # A node that lagged when the outage began catches up from its peers.
+    took = wait_for(lambda: min(revisions(fleet)) >= max(before))
+    check.must(took is not None, f"nodes stay behind: {revisions(fleet)}")
     fault(fleet, down=False)
     back = wait_for(lambda: all(status(fleet, u)["store_answers"]
                                 for u in fleet.state["entries"]))
--- a/src/libperidotreach/cell_credits.cc
+++ b/src/libperidotreach/cell_credits.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <utility>
 
 #include "libperidotreach/placement.h"
 
@@ -37,6 +37,27 @@
   return std::min(slots, slots * 2 * std::max(0.0, free_share));
 }
 
+// Returns the serving endpoints that rendezvous hashing gives to `vm`.
+std::vector<const CellEndpoint*> endpoints_for(const CellState& cell,
+                                               const std::string& vm,
+                                               Millis now) {
+  std::vector<std::pair<std::uint64_t, const CellEndpoint*>> scored;
+  for (const auto& [id, endpoint] : cell.endpoints) {
+    const bool serves =
+        !endpoint.info.leaving && !endpoint.load.leaving &&
+        availability(endpoint.health, now) == Availability::kYes;
+    if (!serves || endpoint.load.models.empty()) continue;
+    scored.emplace_back(stable_hash(vm + "/" + id), &endpoint);
+  }
+  std::sort(scored.rbegin(), scored.rend());
+  std::vector<const CellEndpoint*> chosen;
+  for (const auto& [score, endpoint] : scored) {
+    if (chosen.size() >= kCreditEndpoints) break;
+    chosen.push_back(endpoint);
+  }
+  return chosen;
+}
+
 }  // namespace
 
 bool is_uncontended(const CellState& cell, Millis now) {
@@ -50,22 +71,23 @@
 
 std::vector<Credit> credits_for_entry(const CellState& cell,
                                       const FleetConfig& config, Millis now,
+                                      const std::string& vm,
                                       std::size_t entries) {
   std::vector<Credit> credits;
   const PlacementLimits limits = credit_limits(config);
-  for (const auto& [id, endpoint] : cell.endpoints) {
-    const bool serves =
-        !endpoint.info.leaving && !endpoint.load.leaving &&
-        availability(endpoint.health, now) == Availability::kYes;
-    if (!serves || endpoint.load.models.empty()) continue;
-    const double spare = kSparePart * spare_slots(cell, endpoint, limits);
-    const auto shares =
-        static_cast<double>(entries * endpoint.load.models.size());
-    const auto count = static_cast<std::uint32_t>(
-        std::max(0.0, std::floor(spare / std::max(1.0, shares))));
+  for (const CellEndpoint* endpoint : endpoints_for(cell, vm, now)) {
+    const double spare = kSparePart * spare_slots(cell, *endpoint, limits);
+    // Endpoints are spread over the entries; each is shared by this many.
+    const double sharers =
+        std::max(1.0, static_cast<double>(entries * kCreditEndpoints) /
+                          static_cast<double>(cell.endpoints.size()));
+    const double shares =
+        sharers * static_cast<double>(endpoint->load.models.size());
+    const auto count =
+        static_cast<std::uint32_t>(std::max(0.0, std::floor(spare / shares)));
     if (count == 0) continue;
-    for (const std::string& model : endpoint.load.models) {
-      credits.push_back({id, model, count});
+    for (const std::string& model : endpoint->load.models) {
+      credits.push_back({endpoint->info.id, model, count});
     }
   }
   return credits;
@@ -79,11 +101,11 @@
   if (calm && due) {
     cell.credits_at = context.now;
     cell.credits_out = true;
-    const auto credits =
-        credits_for_entry(cell, context.config, context.now,
-                          std::max<std::size_t>(1, vms.size()));
     for (const std::string& vm : vms) {
-      context.effects.emplace_back(IssueCredits{vm, cell.cell.id, credits});
+      context.effects.emplace_back(
+          IssueCredits{vm, cell.cell.id,
+                       credits_for_entry(cell, context.config, context.now, vm,
+                                         vms.size())});
     }
   }
   if (calm || !cell.credits_out) return;
--- a/src/libperidotreach/cell_grants.cc
+++ b/src/libperidotreach/cell_grants.cc
@@ -20,7 +20,7 @@
 
 // Decay of the memory margin in a tick without preemptions, and its least.
 constexpr double kMarginDecay = 0.998;
-constexpr double kLeastMargin = 1.2;
+constexpr double kLeastMargin = 0.7;
 
 // A rank that may be served, with its queue.
 struct Candidate {
--- a/src/libperidotreach/cell_state.h
+++ b/src/libperidotreach/cell_state.h
@@ -73,7 +73,7 @@
   std::map<RequestKey, RunningRequest> running;
   LengthModel lengths;
   Quarantine quarantine;
-  double memory_margin = 1.5;
+  double memory_margin = 1;
   Millis used_at = 0;
   Millis credits_at = 0;
   bool credits_out = false;
--- a/src/libperidotreach/entry_dispatchers.cc
+++ b/src/libperidotreach/entry_dispatchers.cc
@@ -84,6 +84,8 @@
     contact.asked_at = state.now;
   }
   contact.used_at = state.now;
+  // Any message is a heartbeat too.
+  contact.reported_at = state.now;
 }
 
 void note_heard(EntryState& state, const std::string& dispatcher) {
@@ -108,7 +110,6 @@
     }
   }
   note_asked(state, dispatcher);
-  state.dispatchers[dispatcher].reported_at = state.now;
   context.effects.emplace_back(std::move(report));
 }
 
@@ -124,7 +125,6 @@
   }
   for (const std::string& vm : due) {
     note_asked(state, vm);
-    state.dispatchers[vm].reported_at = state.now;
     context.effects.emplace_back(SendReport{vm, false, {}, {}});
   }
 }
--- a/src/libperidotreach/length_model.cc
+++ b/src/libperidotreach/length_model.cc
@@ -97,7 +97,8 @@
                           double ahead) {
   const double reached = survival_at(curve, produced);
   // Beyond all that was ever seen, the longer it ran the longer it may run.
-  const double tail = (produced + 1) / (produced + 1 + ahead);
+  const double share = (produced + 1) / (produced + 1 + ahead);
+  const double tail = share * share;
   constexpr double kUnseen = 1e-3;
   if (reached < kUnseen) return tail;
   return std::clamp(survival_at(curve, produced + ahead) / reached, 0.0, 1.0);
--- a/src/libperidotreach/placement.cc
+++ b/src/libperidotreach/placement.cc
@@ -12,8 +12,13 @@
 // Share of the step target that placement plans for; the rest absorbs error.
 constexpr double kStepMargin = 0.92;
 
-// Reported occupancy from which an endpoint gets no new work.
-constexpr double kFullMemory = 0.85;
+// Part of a rank's share of memory from which an endpoint gets no new work of
+// it. Less urgent ranks stop earlier, so that they cannot shut urgent work out.
+constexpr double kFullMemory = 0.92;
+
+// Part of the memory margin that the most urgent rank keeps: it takes more
+// risk of preemption, of less urgent work first, to start at once.
+constexpr double kUrgentMargin = 0.5;
 
 // Prompt tokens that prefill handles in a millisecond.
 constexpr double kPrefillRate = 20;
@@ -38,16 +43,18 @@
 }
 
 bool fits_memory(const CellState& cell, const CellEndpoint& endpoint,
-                 const QueuedRequest& item, double share) {
+                 const QueuedRequest& item, const PlacementLimits& limits) {
   const double capacity = endpoint.load.kv_capacity;
   if (capacity <= 0) return true;
-  if (endpoint.load.kv_used > kFullMemory * capacity) return false;
+  const double usable = limits.memory_share * capacity;
+  if (endpoint.load.kv_used > kFullMemory * usable) return false;
   MemoryProjection projection = endpoint.projection;
   const SurvivalCurve curve =
       survival_curve(cell.lengths, item.rank, item.caller);
   add_generation(projection, curve, item.prompt_tokens, 0);
-  const double peak = projected_peak(projection, cell.memory_margin);
-  return peak + foreign_memory(endpoint) <= share * capacity;
+  const double margin = cell.memory_margin * limits.margin_share;
+  return projected_peak(projection, margin) + foreign_memory(endpoint) <=
+         usable;
 }
 
 bool fits_batch(const CellState& cell, const CellEndpoint& endpoint,
@@ -103,6 +110,10 @@
   }
   limits.slot_share = std::max(0.1, 1 - reserved);
   limits.memory_share = limits.slot_share;
+  const bool most_urgent =
+      std::none_of(config.ranks.begin(), config.ranks.end(),
+                   [&](const auto& other) { return other.order < rank.order; });
+  if (most_urgent) limits.margin_share = kUrgentMargin;
   return limits;
 }
 
@@ -163,7 +174,7 @@
     if (probe && estimated_batch(cell, endpoint) > kProbeBatch) continue;
     if (!fits_batch(cell, endpoint, limits)) continue;
     refresh_projection(cell, endpoint, now);
-    if (!fits_memory(cell, endpoint, item, limits.memory_share)) continue;
+    if (!fits_memory(cell, endpoint, item, limits)) continue;
     const double delay = expected_delay_ms(cell, endpoint, item);
     if (delay >= best) continue;
     best = delay;
--- a/src/libperidotreach/placement.h
+++ b/src/libperidotreach/placement.h
@@ -19,6 +19,8 @@
   double step_target_ms = 47;
   double slot_share = 1;
   double memory_share = 1;
+  // Part of the cell's memory margin that this rank keeps.
+  double margin_share = 1;
 
   bool operator==(const PlacementLimits&) const = default;
 };
--- a/src/peridot-dispatch/dispatch_node.cc
+++ b/src/peridot-dispatch/dispatch_node.cc
@@ -13,6 +13,10 @@
 // Time between ticks of the reducer.
 constexpr Millis kTick = 100;
 
+// Time between replies that say nothing; entries suspect a dispatcher much
+// later.
+constexpr Millis kReplyInterval = 300;
+
 // Time between requests for a first configuration.
 constexpr Millis kConfigSeek = 300;
 
@@ -136,10 +140,14 @@
     peers_[message.vm()] = peer;
     bool unknown = false;
     post(report_from(message, names_, monotonic_now(), unknown));
-    // The reply is also the heartbeat. What could not be read is asked for
-    // again; by then the configuration may have come.
-    proto::Envelope& reply = batch(message.vm());
-    if (unknown) reply.mutable_order()->set_want_full(true);
+    // A reply is the heartbeat; orders sent lately make it needless. What could
+    // not be read is asked for again; by then the configuration may have come.
+    const bool due =
+        monotonic_now() - replied_at_[message.vm()] >= kReplyInterval;
+    if (due || unknown) {
+      proto::Envelope& reply = batch(message.vm());
+      if (unknown) reply.mutable_order()->set_want_full(true);
+    }
   }
   if (message.config_revision() > config_.revision() && !peer.empty()) {
     proto::Envelope ask = envelope();
@@ -166,6 +174,7 @@
   for (const auto& [vm, message] : std::exchange(batches_, {})) {
     const auto peer = peers_.find(vm);
     if (peer != peers_.end()) link_.reply(peer->second, message);
+    replied_at_[vm] = monotonic_now();
   }
 }
 
--- a/src/peridot-dispatch/dispatch_node.h
+++ b/src/peridot-dispatch/dispatch_node.h
@@ -66,6 +66,7 @@
   std::unique_ptr<ReducerHost<DispatchState, DispatchEvent, DispatchEffect>>
       host_;
   std::map<std::string, std::string> peers_;
+  std::map<std::string, Millis> replied_at_;
   std::map<std::string, proto::Envelope> batches_;
   std::map<std::string, std::shared_ptr<EndpointWatch>> watches_;
   bool flush_posted_ = false;
--- a/src/peridot-entry/entry_node.cc
+++ b/src/peridot-entry/entry_node.cc
@@ -29,6 +29,11 @@
 constexpr Millis kCancelTimeout = 2 * kSecond;
 constexpr Millis kConfigSeek = 500;
 
+// Time between questions to peers while the store does not answer, and the
+// range of the random first turn.
+constexpr Millis kPeerInterval = kSecond;
+constexpr std::uint64_t kPeerTurns = 1024;
+
 EntryIdentity identity_from(const Settings& settings) {
   return {settings.text("vm"), settings.text("zone"), settings.text("region"),
           (random_number() >> 12u) | 1u};
@@ -148,21 +153,30 @@
   }
 }
 
-// A process that starts while the store is down asks peers for the
-// configuration.
+// A process that starts while the store is down asks all peers for the
+// configuration. Later, while the store does not answer, it asks one peer after
+// the other: the first answer may have come from one that lagged itself.
 awaitable<void> EntryNode::seek_config() {
-  while (config_.revision() == 0) {
-    co_await sleep_for(kConfigSeek);
-    for (const VmInfo& vm : feed_.view().vms) {
-      if (vm.vm == identity_.vm || config_.revision() != 0) continue;
-      proto::Envelope message = envelope();
-      message.set_config_wanted(true);
-      link_.send(vm.address, static_cast<std::uint16_t>(vm.entry_port),
-                 message);
+  std::size_t turn = random_number() % kPeerTurns;
+  while (true) {
+    const bool fresh = config_.revision() == 0;
+    co_await sleep_for(fresh ? kConfigSeek : kPeerInterval);
+    if (!fresh && feed_.store_answers()) continue;
+    const std::vector<VmInfo>& vms = feed_.view().vms;
+    for (std::size_t i = 0; i < vms.size(); ++i) {
+      const bool its_turn = i == turn % vms.size();
+      if (vms[i].vm != identity_.vm && (fresh || its_turn)) ask_config(vms[i]);
     }
+    turn += 1;
   }
 }
 
+void EntryNode::ask_config(const VmInfo& vm) {
+  proto::Envelope message = envelope();
+  message.set_config_wanted(true);
+  link_.send(vm.address, static_cast<std::uint16_t>(vm.entry_port), message);
+}
+
 void EntryNode::on_config(const proto::Config& config) {
   plain_config_ = fleet_config_from(config);
   names_.learn(plain_config_);
@@ -194,7 +208,8 @@
     post(SessionsAccepted{message.confirmation().home(),
                           message.confirmation().incarnation()});
   }
-  if (message.config_wanted()) {
+  const bool newer_here = config_.revision() > message.config_revision();
+  if (message.config_wanted() && newer_here) {
     proto::Envelope reply = envelope();
     *reply.mutable_config()->mutable_config() = config_.config();
     const VmInfo* vm = find_vm(feed_.view(), message.vm());
--- a/src/peridot-entry/entry_node.h
+++ b/src/peridot-entry/entry_node.h
@@ -109,6 +109,7 @@
   awaitable<void> finish_process();
   awaitable<void> tick();
   awaitable<void> seek_config();
+  void ask_config(const VmInfo& vm);
   void relay_item(CallerStream& stream, const RelayItems& effect,
                   const StreamItem& item);
   std::string with_public_id(const std::string& payload,
--- a/src/runtime/fleet_feed.cc
+++ b/src/runtime/fleet_feed.cc
@@ -86,12 +86,10 @@
   while (true) {
     co_await sleep_for(kConfigPoll / 2 + spread(kConfigPoll));
     drop_lapsed();
-    const auto snapshot = co_await store_.read(kConfigKey);
+    const auto snapshot = co_await store_.read_newer(kConfigKey, config_seen_);
     store_answers_ = ok(snapshot);
     if (!ok(snapshot)) continue;
-    for (const StoreEntry& entry : value(snapshot).entries) {
-      config_.offer_bytes(entry.value);
-    }
+    for (const StoreEntry& entry : value(snapshot).entries) take_entry(entry);
   }
 }
 
@@ -178,6 +176,7 @@
 
 void FleetFeed::take_entry(const StoreEntry& entry) {
   if (entry.key == kConfigKey) {
+    config_seen_ = std::max(config_seen_, entry.mod_revision);
     config_.offer_bytes(entry.value);
     return;
   }
--- a/src/runtime/fleet_feed.h
+++ b/src/runtime/fleet_feed.h
@@ -68,6 +68,8 @@
   ViewListener on_view_;
   VmInfo self_;
   std::int64_t lease_ = 0;
+  // The store's revision of the configuration seen last.
+  std::int64_t config_seen_ = 0;
   bool store_answers_ = false;
   bool deregistered_ = false;
   std::map<std::string, Registration> registrations_;
--- a/src/runtime/store_client.cc
+++ b/src/runtime/store_client.cc
@@ -142,6 +142,29 @@
   co_return co_await read_range(std::move(body));
 }
 
+awaitable<Result<StoreSnapshot>> StoreClient::read_newer(
+    std::string key, std::int64_t revision) {
+  json::object compare;
+  compare["key"] = base64_encode(key);
+  compare["target"] = "MOD";
+  compare["result"] = "GREATER";
+  compare["mod_revision"] = std::to_string(revision);
+  json::object range;
+  range["key"] = base64_encode(key);
+  json::object success;
+  success["requestRange"] = std::move(range);
+  json::object body;
+  body["compare"] = json::array{std::move(compare)};
+  body["success"] = json::array{std::move(success)};
+  const Result<json::object> answer = co_await call(
+      "/v3/kv/txn", std::move(body), StorePriority::kConfiguration);
+  if (!ok(answer)) co_return error(answer);
+  StoreSnapshot snapshot;
+  const SwapOutcome outcome = swap_outcome(value(answer));
+  if (outcome.present) snapshot.entries.push_back(*outcome.present);
+  co_return snapshot;
+}
+
 awaitable<Result<StoreSnapshot>> StoreClient::read_prefix(std::string prefix) {
   json::object body;
   body["key"] = base64_encode(prefix);
--- a/src/runtime/store_client.h
+++ b/src/runtime/store_client.h
@@ -59,6 +59,11 @@
 
   awaitable<Result<StoreSnapshot>> read(std::string key);
   awaitable<Result<StoreSnapshot>> read_prefix(std::string prefix);
+
+  // Reads `key` only if it changed after `revision`; an unchanged key costs
+  // few bytes and gives no entry.
+  awaitable<Result<StoreSnapshot>> read_newer(std::string key,
+                                              std::int64_t revision);
   awaitable<Result<SwapOutcome>> swap(StoreSwap change, StorePriority priority);
 
   // Writes without a condition.
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -238,7 +238,10 @@
 
   bool holds(const json::object& compare) const {
     const std::string key = base64_decode(text_member(compare, "key"));
-    return store_.mod_revision(key) == number_member(compare, "mod_revision");
+    const std::int64_t present = store_.mod_revision(key);
+    const std::int64_t wanted = number_member(compare, "mod_revision");
+    const bool greater = text_member(compare, "result") == "GREATER";
+    return greater ? present > wanted : present == wanted;
   }
 
   json::object txn(const json::object& body) {
