--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -212,6 +212,9 @@
     for process in fleet.state["processes"]:
         if process["role"] not in ("entry", "dispatch", "steward"):
             continue
+        if not fleets.is_alive(process["pid"]):
+            log = pathlib.Path(process["log"]).read_text()
+            sys.exit(f"{process['name']} died:\n{log[-2000:]}")
         stat = pathlib.Path(f"/proc/{process['pid']}/stat").read_text()
         fields = stat.rsplit(") ", 1)[1].split()
         status = pathlib.Path(f"/proc/{process['pid']}/status").read_text()
--- a/src/libperidotreach/entry_streams.cc
+++ b/src/libperidotreach/entry_streams.cc
@@ -1,7 +1,5 @@
 #include "libperidotreach/entry_streams.h"
 
-#include <algorithm>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -9,172 +7,14 @@
 #include "libperidotreach/cell_credits.h"
 #include "libperidotreach/cells.h"
 #include "libperidotreach/entry_dispatchers.h"
+#include "libperidotreach/generation_steps.h"
 
 namespace peridotreach {
 namespace {
 
-// Reconnects without progress after which an endpoint counts as lost.
-constexpr std::uint32_t kMostReconnects = 4;
-
-// Retries of one request.
-constexpr std::uint32_t kMostRetries = 6;
-
-// Time after its deadline that a dispatcher's refusal may still take.
-constexpr Millis kDeadlineSlack = 0;
-
 // Time for an endpoint to answer a connection.
 constexpr Millis kOpenTimeout = 4 * kSecond;
 
-// Gap between tokens beyond which the excess counts as stall.
-constexpr Millis kStallGap = 500;
-
-// Progress is reported when the produced tokens have doubled, from here on.
-constexpr std::uint32_t kFirstProgressTokens = 128;
-
-// Delay before a reconnect that follows a failed one.
-constexpr Millis kReconnectDelay = 250;
-
-Generation* find_generation(EntryState& state, std::uint64_t request) {
-  const auto found = state.generations.find(request);
-  return found == state.generations.end() ? nullptr : &found->second;
-}
-
-const RankPolicy& rank_of(const EntryState& state, const std::string& id) {
-  static const RankPolicy kUnknown;
-  const RankPolicy* rank = find_rank(state.config, id);
-  return rank == nullptr ? kUnknown : *rank;
-}
-
-// Chooses the untried cell that the request's prefix hashes to, so that equal
-// prefixes meet one cache.
-std::string choose_cell(const EntryState& state, const Generation& generation) {
-  const std::uint64_t seed = generation.item.prefixes.empty()
-                                 ? generation.item.fingerprint
-                                 : generation.item.prefixes.front();
-  std::string best;
-  std::uint64_t best_score = 0;
-  bool best_near = false;
-  for (const Cell& cell : state.cells) {
-    if (cell.service != generation.service) continue;
-    if (generation.tried_cells.contains(cell.id)) continue;
-    const bool near = cell.region == state.self.region;
-    if (!best.empty() && best_near && !near) continue;
-    const std::uint64_t score = stable_hash(cell.id, seed);
-    if (!best.empty() && score <= best_score) continue;
-    best = cell.id;
-    best_score = score;
-    best_near = near;
-  }
-  return best;
-}
-
-void report(const EntryContext& context, const Generation& generation,
-            RunState run) {
-  if (generation.dispatcher.empty()) return;
-  note_asked(context.state, generation.dispatcher);
-  if (run == RunState::kLost) {
-    context.state.lost_fingerprints[generation.item.fingerprint] =
-        context.state.now;
-  }
-  context.effects.emplace_back(SendProgress{
-      generation.dispatcher,
-      {generation.item, generation.endpoint, generation.produced, run},
-      false});
-}
-
-// Drops the connection of the present attempt; what it still says is of an
-// older attempt from here on.
-void close_attempt(const EntryContext& context, Generation& generation) {
-  context.effects.emplace_back(
-      CloseEndpoint{generation.item.key.request, generation.attempt});
-  generation.attempt += 1;
-}
-
-void observe(const EntryContext& context, const Generation& generation,
-             Measure measure, double value) {
-  context.effects.emplace_back(
-      Observe{measure, generation.item.rank, generation.item.caller, value});
-}
-
-// Removes the generation and answers its caller. "Not run" is only said if no
-// attempt can have run.
-void finish(const EntryContext& context, std::uint64_t request,
-            FinishRequest outcome) {
-  EntryState& state = context.state;
-  const auto found = state.generations.find(request);
-  if (found == state.generations.end()) return;
-  const Generation& generation = found->second;
-  if (outcome.ran == Ran::kNo) outcome.ran = generation.exposure;
-  const bool refused = outcome.kind != RefusalKind::kNone &&
-                       outcome.kind != RefusalKind::kCancelled;
-  if (refused) {
-    count_refusal(context, {generation.item.caller, generation.item.rank,
-                            generation.service, outcome.kind});
-  }
-  explain(context, request, "finished", refusal_name(outcome.kind));
-  context.effects.emplace_back(outcome);
-  if (!generation.idempotency_key.empty()) {
-    const auto key =
-        std::make_pair(generation.item.caller, generation.idempotency_key);
-    const auto keyed = state.by_key.find(key);
-    if (keyed != state.by_key.end() && keyed->second == request) {
-      state.by_key.erase(keyed);
-    }
-  }
-  state.generations.erase(found);
-}
-
-void drop_queued(const EntryContext& context, const Generation& generation) {
-  if (generation.stage != Stage::kQueued) return;
-  if (generation.dispatcher.empty()) return;
-  context.effects.emplace_back(
-      SendDropped{generation.dispatcher, generation.item.key.request});
-}
-
-// Queues the generation at the dispatcher of its cell; refuses it if the
-// service has no endpoint.
-void queue_generation(const EntryContext& context, std::uint64_t request) {
-  EntryState& state = context.state;
-  Generation& generation = state.generations.at(request);
-  if (generation.item.cell.empty()) {
-    generation.item.cell = choose_cell(state, generation);
-  }
-  if (generation.item.cell.empty()) {
-    finish(context, request,
-           {request, RefusalKind::kNoEndpoint, Ran::kNo, 5 * kSecond});
-    return;
-  }
-  generation.stage = Stage::kQueued;
-  generation.stage_at = state.now;
-  generation.endpoint.clear();
-  generation.generation.clear();
-  generation.dispatcher = choose_dispatcher(state, generation.item.cell);
-  if (generation.dispatcher.empty()) {
-    finish(context, request,
-           {request, RefusalKind::kNoDispatcher, Ran::kNo, kSecond});
-    return;
-  }
-  explain(context, request, "queued",
-          generation.item.cell + " at " + generation.dispatcher);
-  note_asked(state, generation.dispatcher);
-  context.effects.emplace_back(
-      SendEnqueue{generation.dispatcher, generation.item});
-}
-
-void open_endpoint(const EntryContext& context, std::uint64_t request) {
-  EntryState& state = context.state;
-  Generation& generation = state.generations.at(request);
-  generation.attempt += 1;
-  generation.exposure_before = generation.exposure;
-  if (generation.exposure == Ran::kNo) generation.exposure = Ran::kUnknown;
-  generation.stage_at = state.now;
-  generation.activity_at = state.now;
-  const RankPolicy& rank = rank_of(state, generation.item.rank);
-  context.effects.emplace_back(OpenEndpoint{
-      request, generation.attempt, generation.endpoint, generation.generation,
-      generation.next_sequence - 1, rank.order});
-}
-
 // Takes one credit for the request: at the endpoint that its prefix hashes to,
 // so that equal prefixes meet one cache. Returns the endpoint, or nothing.
 std::string take_credit(EntryState& state, HeldCredits& held,
@@ -226,160 +66,9 @@
   return true;
 }
 
-// Runs the generation again elsewhere. Only called while no token of it has
-// reached the caller.
-void retry_elsewhere(const EntryContext& context, std::uint64_t request,
-                     RunState run, const std::string& cause) {
-  EntryState& state = context.state;
-  Generation& generation = state.generations.at(request);
-  report(context, generation, run);
-  explain(context, request, "retry", cause + " at " + generation.endpoint);
-  close_attempt(context, generation);
-  const bool late = state.now >= generation.start_by;
-  const bool spent =
-      generation.retries >= kMostRetries || !take_retry(state.retries);
-  if (late || spent) {
-    finish(context, request,
-           {request, RefusalKind::kEndpointLost, Ran::kNo, kSecond});
-    return;
-  }
-  generation.retries += 1;
-  generation.next_sequence = 0;
-  generation.produced = 0;
-  generation.reported = 0;
-  generation.reconnects = 0;
-  generation.item.excluded.push_back(generation.endpoint);
-  generation.stage = Stage::kWaiting;
-  generation.endpoint.clear();
-  generation.generation.clear();
-  generation.retry_at =
-      state.now + retry_delay(generation.retries, draw(state));
-}
-
-// Replaces a connection by one that goes on at the next event.
-void reconnect(const EntryContext& context, std::uint64_t request,
-               const std::string& cause) {
-  Generation& generation = context.state.generations.at(request);
-  if (generation.reconnects >= kMostReconnects) {
-    if (!generation.delivered) {
-      retry_elsewhere(context, request, RunState::kLost, "no_progress");
-      return;
-    }
-    report(context, generation, RunState::kLost);
-    finish(context, request,
-           {request, RefusalKind::kEndpointLost, Ran::kPartly, 0});
-    return;
-  }
-  generation.reconnects += 1;
-  explain(context, request, "resume", cause + " at " + generation.endpoint);
-  close_attempt(context, generation);
-  if (generation.reconnects == 1) {
-    open_endpoint(context, request);
-    return;
-  }
-  generation.retry_at = context.state.now + kReconnectDelay;
-}
-
-void lose_endpoint(const EntryContext& context, std::uint64_t request,
-                   const std::string& cause) {
-  const Generation& generation = context.state.generations.at(request);
-  if (!generation.delivered && !generation.resumed) {
-    retry_elsewhere(context, request, RunState::kLost, cause);
-    return;
-  }
-  explain(context, request, "endpoint_lost", cause + " " + generation.endpoint);
-  report(context, generation, RunState::kLost);
-  finish(context, request,
-         {request, RefusalKind::kEndpointLost, Ran::kPartly, 0});
-}
-
-void note_token(const EntryContext& context, Generation& generation) {
-  const Millis now = context.state.now;
-  if (generation.produced == 0 && !generation.resumed) {
-    observe(context, generation, Measure::kFirstToken,
-            static_cast<double>(now - generation.arrived_at));
-  }
-  if (generation.token_at > 0) {
-    const Millis gap = now - generation.token_at;
-    observe(context, generation, Measure::kTokenGap, static_cast<double>(gap));
-    if (gap > kStallGap) {
-      observe(context, generation, Measure::kStall,
-              static_cast<double>(gap - kStallGap));
-    }
-  }
-  generation.token_at = now;
-  generation.produced += 1;
-  const std::uint32_t due =
-      std::max(kFirstProgressTokens, 2 * generation.reported);
-  if (generation.produced < due) return;
-  generation.reported = generation.produced;
-  report(context, generation, RunState::kStarted);
-}
-
-// How one item was taken.
-enum class Taken : std::uint8_t { kRelay, kDrop, kGap };
-
-Taken take_item(Generation& generation, const StreamItem& item) {
-  if (item.kind == ItemKind::kHeartbeat) return Taken::kDrop;
-  if (item.sequence < generation.next_sequence) return Taken::kDrop;
-  if (item.sequence > generation.next_sequence) return Taken::kGap;
-  generation.next_sequence += 1;
-  generation.reconnects = 0;
-  return Taken::kRelay;
-}
-
-// The id named in a stream must be that of the generation this request runs.
-bool is_foreign(const Generation& generation, const StreamItem& item) {
-  if (item.generation.empty()) return false;
-  return !generation.generation.empty() &&
-         generation.generation != item.generation;
-}
-
-// Outcome of reading a batch of items.
-struct BatchResult {
-  bool ended = false;
-  bool failed = false;
-  bool broken = false;
-};
-
-BatchResult read_items(const EntryContext& context, Generation& generation,
-                       const std::vector<StreamItem>& items,
-                       RelayItems& relay) {
-  BatchResult result;
-  for (const StreamItem& item : items) {
-    if (is_foreign(generation, item)) {
-      result.broken = true;
-      return result;
-    }
-    if (!item.generation.empty()) generation.generation = item.generation;
-    const Taken taken = take_item(generation, item);
-    if (taken == Taken::kDrop) continue;
-    if (taken == Taken::kGap) {
-      result.broken = true;
-      return result;
-    }
-    if (item.kind == ItemKind::kToken) {
-      note_token(context, generation);
-      generation.delivered = true;
-    }
-    result.ended = item.kind == ItemKind::kCompleted;
-    result.failed = item.kind == ItemKind::kFailed;
-    relay.items.push_back(item);
-    if (result.ended || result.failed) return result;
-  }
-  return result;
-}
-
-void complete(const EntryContext& context, std::uint64_t request) {
-  const Generation& generation = context.state.generations.at(request);
-  observe(context, generation, Measure::kOutputLength, generation.produced);
-  report(context, generation, RunState::kFinished);
-  finish(context, request, {request, RefusalKind::kNone, Ran::kYes, 0});
-}
-
 void tend_queued(const EntryContext& context, std::uint64_t request,
                  const Generation& generation) {
-  if (context.state.now < generation.start_by + kDeadlineSlack) return;
+  if (context.state.now < generation.start_by) return;
   drop_queued(context, generation);
   finish(context, request,
          {request, RefusalKind::kDeadlineUnreachable, Ran::kNo, kSecond});
@@ -404,14 +93,6 @@
   reconnect(context, request, "silent_connection");
 }
 
-void cancel_running(const EntryContext& context, Generation& generation,
-                    bool only_unwatched) {
-  close_attempt(context, generation);
-  if (generation.generation.empty()) return;
-  context.effects.emplace_back(CancelGeneration{
-      generation.endpoint, generation.generation, only_unwatched});
-}
-
 // A resent request takes the place of the one that its key names.
 void replace_keyed(const EntryContext& context,
                    const GenerationRequested& event) {
@@ -567,53 +248,6 @@
   queue_generation(context, event.request);
 }
 
-void on_opened(const EntryContext& context, const EndpointOpened& event) {
-  Generation* generation = find_generation(context.state, event.request);
-  if (generation == nullptr || generation->attempt != event.attempt) return;
-  generation->activity_at = context.state.now;
-  const bool known =
-      generation->endpoint_incarnation != 0 && !generation->generation.empty();
-  if (known && generation->endpoint_incarnation != event.incarnation) {
-    lose_endpoint(context, event.request, "restarted");
-    return;
-  }
-  generation->endpoint_incarnation = event.incarnation;
-  generation->exposure = Ran::kPartly;
-  if (generation->stage == Stage::kConnecting) {
-    generation->stage = Stage::kStreaming;
-  }
-}
-
-void on_items(const EntryContext& context, const ItemsArrived& event) {
-  Generation* generation = find_generation(context.state, event.request);
-  if (generation == nullptr || generation->attempt != event.attempt) return;
-  generation->activity_at = context.state.now;
-  const bool first = generation->produced == 0;
-  RelayItems relay;
-  relay.request = event.request;
-  relay.endpoint = generation->endpoint;
-  relay.endpoint_incarnation = generation->endpoint_incarnation;
-  const BatchResult result =
-      read_items(context, *generation, event.items, relay);
-  relay.generation = generation->generation;
-  if (first && generation->produced > 0) {
-    report(context, *generation, RunState::kStarted);
-  }
-  if (!relay.items.empty()) context.effects.emplace_back(std::move(relay));
-  if (result.broken) {
-    reconnect(context, event.request, "gap_or_foreign_answer");
-    return;
-  }
-  if (result.failed) {
-    close_attempt(context, *generation);
-    report(context, *generation, RunState::kLost);
-    finish(context, event.request,
-           {event.request, RefusalKind::kEndpointLost, Ran::kPartly, 0});
-    return;
-  }
-  if (result.ended) complete(context, event.request);
-}
-
 void on_closed(const EntryContext& context, const EndpointClosed& event) {
   Generation* generation = find_generation(context.state, event.request);
   if (generation == nullptr || generation->attempt != event.attempt) return;
