--- a/src/libperidotreach/cell_credits.cc
+++ b/src/libperidotreach/cell_credits.cc
@@ -47,7 +47,7 @@
         !endpoint.info.leaving && !endpoint.load.leaving &&
         availability(endpoint.health, now) == Availability::kYes;
     if (!serves || endpoint.load.models.empty()) continue;
-    scored.emplace_back(stable_hash(vm + "/" + id), &endpoint);
+    scored.emplace_back(stable_hash(id, stable_hash(vm)), &endpoint);
   }
   std::sort(scored.rbegin(), scored.rend());
   std::vector<const CellEndpoint*> chosen;
