Give the measured figures; goodput is not measured by these runs

Cause: goodput was divided by the time of load while queued work finished in the drain: 219 % of capacity, a check that cannot fail.

--- a/scripts/report.py
+++ b/scripts/report.py
@@ -10,7 +10,6 @@
 
 FIRST_TOKEN_MS = 440
 GAP_MS = 47
-CAPACITY = 5600
 LESS_URGENT_FLOODS = ("flood-least-urgent", "engine-loss", "stale-load")
 
 
@@ -104,12 +103,6 @@
             bounds.add("less urgent work below its floor, in time",
                        deployment, scenario, f"{share * 100:.1f} %", "95 %",
                        share >= 0.95)
-        if scenario in ("flood-most-urgent", "flood-least-urgent",
-                        "flood-both"):
-            rate = row["all"]["good_tokens"] / (row["seconds"] * 0.9)
-            bounds.add("goodput beside capacity", deployment, scenario,
-                       f"{rate / CAPACITY * 100:.0f} %", "95 %",
-                       rate >= 0.95 * CAPACITY)
         if scenario == "large-callers":
             offered, in_time = small_callers(row)
             share = in_time / max(1, offered)
