Check that every process of a fleet lives once it is up

Cause: a process of a fleet was gone at the end of one measurement; nothing had looked at its start. Change: fleet.py stops with the log of a process that ended at its start.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -224,6 +224,11 @@
             for u in fleet.state["entries"])
 
     wait_until("the view of the fleet", sees_all)
+    for process in fleet.state["processes"]:
+        if not is_alive(process["pid"]):
+            log = pathlib.Path(process["log"]).read_text()
+            sys.exit(f"fleet: {process['name']} ended at its start:\n"
+                     f"{log[-2000:]}")
     return fleet
 
 
