--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -40,7 +40,6 @@
 CONFIG_POLL_BYTES = 560
 LEDGER_WRITES = 1 / 60
 STEWARD_CALLS = 1 / 3.0
-CONFIG_VALUE_KEPT = 64
 
 BUDGET_CPU = 0.012
 BUDGET_MEMORY = 32e6
@@ -116,7 +115,6 @@
     cells_in_region = ENGINES / 3 / MEAN_CELL
     cells = ENGINES / MEAN_CELL
     cell_requests = REQUESTS / cells
-    entries_of_cell = NODES / 3
     used_cells = min(cells_in_region, requests / HEARTBEATS * 1.0)
     figures = {"requests_node": requests, "streams_node": streams,
                "cells": cells, "cells_per_node": cells / NODES}
@@ -174,7 +172,6 @@
     figures["bytes_config_poll"] = CONFIG_POLLS * CONFIG_POLL_BYTES
     figures["bytes_load"] = cells / NODES * CELL * LOAD_REPORTS * 230
     figures["used_cells"] = used_cells
-    figures["entries_of_cell"] = entries_of_cell
     for kind in ("credit", "grant"):
         figures[f"bytes_{kind}"] = sum(figures[name] for name in (
             f"bytes_requests_{kind}", "bytes_credits", "bytes_heartbeats",
--- a/src/libperidotreach/admission.cc
+++ b/src/libperidotreach/admission.cc
@@ -20,17 +20,12 @@
 constexpr Millis kLeastRetryAfter = kSecond;
 constexpr Millis kMostRetryAfter = 5 * kMinute;
 
-double share_of(const FleetConfig& config, const std::string& caller) {
-  const CallerPolicy* policy = find_caller(config, caller);
-  return policy == nullptr ? 1 : policy->share;
-}
-
 double waiting_shares(const RankQueue& queue, const FleetConfig& config,
                       const std::string& caller) {
-  double total = share_of(config, caller);
+  double total = caller_share(config, caller);
   for (const auto& [other, items] : queue.by_caller) {
     if (other == caller || items.empty()) continue;
-    total += share_of(config, other);
+    total += caller_share(config, other);
   }
   return total;
 }
@@ -57,7 +52,7 @@
   if (now - queue.contended_at > kContention) return 0;
   if (queue.grant_rate < kLeastRate) return 0;
   const double part =
-      share_of(config, caller) / waiting_shares(queue, config, caller);
+      caller_share(config, caller) / waiting_shares(queue, config, caller);
   const double rate = queue.grant_rate * part;
   const double seconds = static_cast<double>(ahead + 1) / rate;
   return static_cast<Millis>(seconds * kSecond);
--- a/src/libperidotreach/cell_queue.cc
+++ b/src/libperidotreach/cell_queue.cc
@@ -10,11 +10,6 @@
 // Cost of a prompt token beside an output token.
 constexpr double kPromptCost = 0.1;
 
-double share_of(const FleetConfig& config, const std::string& caller) {
-  const CallerPolicy* policy = find_caller(config, caller);
-  return policy == nullptr ? 1 : policy->share;
-}
-
 bool is_waiting(const CellState& cell, const RequestKey& key) {
   for (const auto& [rank, queue] : cell.ranks) {
     for (const auto& [caller, items] : queue.by_caller) {
@@ -38,7 +33,7 @@
   const double beyond = produced - request.charged;
   if (beyond <= 0) return;
   charge(queue.counters, request.item.caller, beyond,
-         share_of(config, request.item.caller));
+         caller_share(config, request.item.caller));
   request.charged = produced;
 }
 
@@ -157,7 +152,7 @@
   request.charged = mean_remaining(request.curve, 0);
   charge(queue.counters, item.caller,
          request.charged + kPromptCost * item.prompt_tokens,
-         share_of(context.config, item.caller));
+         caller_share(context.config, item.caller));
   queue.running += 1;
   queue.running_by_caller[item.caller] += 1;
   const auto target = cell.endpoints.find(endpoint);
@@ -177,7 +172,7 @@
   RankQueue& queue = cell.ranks[request.item.rank];
   charge(queue.counters, request.item.caller,
          request.produced - request.charged,
-         share_of(config, request.item.caller));
+         caller_share(config, request.item.caller));
   queue.running -= 1;
   queue.running_by_caller[request.item.caller] -= 1;
   const auto endpoint = cell.endpoints.find(request.endpoint);
--- a/src/libperidotreach/entry_dispatchers.cc
+++ b/src/libperidotreach/entry_dispatchers.cc
@@ -55,9 +55,8 @@
   for (auto& [vm, contact] : state.dispatchers) {
     if (contact.suspected_until > state.now) continue;
     if (contact.asked_at <= contact.heard_at) continue;
-    const Millis since = std::max(contact.heard_at, contact.asked_at);
     const bool late = state.now - contact.heard_at > kDispatcherSilence &&
-                      state.now - contact.used_at < kIdleContact && since > 0;
+                      state.now - contact.used_at < kIdleContact;
     if (!late) continue;
     contact.suspected_until = state.now + kSuspicion;
     silent.push_back(vm);
--- a/src/libperidotreach/fleet_config.cc
+++ b/src/libperidotreach/fleet_config.cc
@@ -90,6 +90,11 @@
   return find_by_id(config.callers, id);
 }
 
+double caller_share(const FleetConfig& config, const std::string& caller) {
+  const CallerPolicy* policy = find_caller(config, caller);
+  return policy == nullptr ? 1 : policy->share;
+}
+
 const ServicePolicy* find_service(const FleetConfig& config,
                                   const std::string& id) {
   return find_by_id(config.services, id);
--- a/src/libperidotreach/fleet_config.h
+++ b/src/libperidotreach/fleet_config.h
@@ -126,6 +126,9 @@
 const ServicePolicy* find_service(const FleetConfig& config,
                                   const std::string& id);
 
+// Returns the share of the caller, 1 if it is not known.
+double caller_share(const FleetConfig& config, const std::string& caller);
+
 // Returns the caller whose key hashes to `key_sha256`, compared in constant
 // time, or null.
 const CallerPolicy* find_caller_by_key(const FleetConfig& config,
--- a/src/peridot-dispatch/dispatch_node.cc
+++ b/src/peridot-dispatch/dispatch_node.cc
@@ -5,6 +5,7 @@
 #include "fleet.pb.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "runtime/node_settings.h"
 #include "runtime/wire.h"
 
 namespace peridotreach {
@@ -25,10 +26,6 @@
                                                : DispatchPolicy::kFull;
 }
 
-LinkKeys keys_from(const Settings& settings) {
-  return {settings.text("link-public-key"), settings.text("link-secret-key")};
-}
-
 TraceHead head_of(const Settings& settings, std::uint64_t incarnation) {
   TraceHead head;
   head.reducer = "dispatch";
@@ -46,7 +43,7 @@
       settings_(settings),
       vm_(settings.text("vm")),
       incarnation_((random_number() >> 12u) | 1u),
-      link_(io, keys_from(settings),
+      link_(io, link_keys(settings),
             vm_ + "/dispatch/" + std::to_string(incarnation_)),
       config_([this](const proto::Config& config) {
         FleetConfig plain = fleet_config_from(config);
--- a/src/peridot-entry/entry_node.cc
+++ b/src/peridot-entry/entry_node.cc
@@ -10,6 +10,7 @@
 #include "runtime/clock.h"
 #include "runtime/json.h"
 #include "runtime/log.h"
+#include "runtime/node_settings.h"
 #include "runtime/sse_parser.h"
 #include "runtime/store_keys.h"
 #include "runtime/wire.h"
@@ -47,10 +48,6 @@
   return budget;
 }
 
-LinkKeys keys_from(const Settings& settings) {
-  return {settings.text("link-public-key"), settings.text("link-secret-key")};
-}
-
 std::uint16_t port_of(const Settings& settings, const std::string& name) {
   return static_cast<std::uint16_t>(settings.number(name));
 }
@@ -85,7 +82,7 @@
       settings_(settings),
       identity_(identity_from(settings)),
       fleet_key_(derive_fleet_key(settings.text("fleet-key"))),
-      link_(io, keys_from(settings),
+      link_(io, link_keys(settings),
             identity_.vm + "/entry/" + std::to_string(identity_.incarnation)),
       store_(io, std::move(store), entry_budget()),
       config_([this](const proto::Config& config) { on_config(config); }),
--- a/src/peridot-steward/steward_node.cc
+++ b/src/peridot-steward/steward_node.cc
@@ -8,6 +8,7 @@
 #include "runtime/clock.h"
 #include "runtime/json.h"
 #include "runtime/log.h"
+#include "runtime/node_settings.h"
 #include "runtime/store_keys.h"
 
 namespace peridotreach {
@@ -27,10 +28,6 @@
   return budget;
 }
 
-LinkKeys keys_from(const Settings& settings) {
-  return {settings.text("link-public-key"), settings.text("link-secret-key")};
-}
-
 std::vector<std::string> texts_in(const json::array& from) {
   std::vector<std::string> texts;
   for (const json::value& item : from) {
@@ -46,7 +43,7 @@
     : io_(io),
       settings_(settings),
       link_(
-          io, keys_from(settings),
+          io, link_keys(settings),
           settings.text("vm") + "/steward/" + std::to_string(random_number())),
       store_(io, std::move(store), steward_budget()),
       config_([this](const proto::Config& config) {
--- a/src/peridotctl/sheet_commands.cc
+++ b/src/peridotctl/sheet_commands.cc
@@ -170,8 +170,7 @@
 }
 
 int drain(const CommandLine& line) {
-  const bool back = line.words.size() == 3 && line.words[2] == "--back";
-  if (line.words.size() != 2 && !back) {
+  if (line.words.size() != 2) {
     std::cerr << "write: drain VM-OR-ENDPOINT\n";
     return kUsage;
   }
--- a/src/runtime/node_settings.cc
+++ b/src/runtime/node_settings.cc
@@ -1,5 +1,8 @@
 #include "runtime/node_settings.h"
 
+#include "runtime/control_link.h"
+#include "runtime/settings.h"
+
 namespace peridotreach {
 
 std::vector<Setting> node_settings() {
@@ -28,4 +31,8 @@
        "File for recorded events and effects; empty for none"}};
 }
 
+LinkKeys link_keys(const Settings& settings) {
+  return {settings.text("link-public-key"), settings.text("link-secret-key")};
+}
+
 }  // namespace peridotreach
--- a/src/runtime/node_settings.h
+++ b/src/runtime/node_settings.h
@@ -8,7 +8,13 @@
 
 namespace peridotreach {
 
+class Settings;
+struct LinkKeys;
+
 // Returns the shared settings.
 std::vector<Setting> node_settings();
 
+// Returns the CURVE keys that the settings give.
+LinkKeys link_keys(const Settings& settings);
+
 }  // namespace peridotreach
