--- /dev/null
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -0,0 +1,125 @@
+#include "libperidotreach/routing/endpoint_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotreach {
+namespace {
+
+// Time in which a remembered failure loses half of its weight; a faulty
+// endpoint is tried again within a few seconds.
+constexpr double kFailureHalfLife = 4.0 * kSecond;
+
+// Weight of the newest answer in the failure share.
+constexpr double kNewestAnswer = 0.25;
+
+// Burden of a failing endpoint, in shares of its capacity.
+constexpr double kFailureBurden = 4.0;
+
+// Burden of crossing to another availability zone: ties go to the own one.
+constexpr double kOtherZoneBurden = 0.03;
+
+// Burden of an endpoint that still warms up.
+constexpr double kWarmUpBurden = 0.3;
+
+// Burden of memory that is projected to run out, for each share over it.
+constexpr double kOverfullBurden = 6.0;
+
+// Weight of the batch beside the memory of an engine.
+constexpr double kBatchBurden = 0.3;
+
+// Range of the random part that spreads equal choices of several processes.
+constexpr double kSpread = 0.02;
+
+// Ejection after a failed connection, doubled with each further one.
+constexpr Millis kFirstEjection = kSecond;
+constexpr std::uint32_t kMostEjectionDoublings = 3;
+
+// Slots assumed where an endpoint does not say.
+constexpr double kDefaultSlots = 8;
+
+double slots_of(const EndpointState& endpoint) {
+  return endpoint.entry.slots == 0 ? kDefaultSlots : endpoint.entry.slots;
+}
+
+double memory_burden(const EndpointState& endpoint, const EngineShape& engine,
+                     std::uint64_t tokens) {
+  const double capacity = std::max(1.0, double(engine.memory_tokens));
+  const auto held =
+      double(endpoint.own.tokens + endpoint.peers.tokens + tokens);
+  const double share = held / capacity;
+  return share + kOverfullBurden * std::max(0.0, share - 1.0);
+}
+
+double burden(const RoutingState& state, const EndpointState& endpoint,
+              const EndpointNeed& need, const ServiceSpec* service) {
+  const double batch =
+      double(endpoint.own.running + endpoint.peers.running + 1) /
+      slots_of(endpoint);
+  double sum = batch;
+  if (service != nullptr && service->engine && need.tokens > 0) {
+    sum = kBatchBurden * batch +
+          memory_burden(endpoint, *service->engine, need.tokens);
+  }
+  sum += kFailureBurden * failure_share_at(endpoint, state.now);
+  if (endpoint.entry.zone != state.self.zone) sum += kOtherZoneBurden;
+  if (endpoint.warm_until > state.now) sum += kWarmUpBurden;
+  return sum;
+}
+
+// Returns a number from 0 to 1 that differs by endpoint and draw.
+double spread(const std::string& id, std::uint64_t draw) {
+  const std::uint64_t mixed =
+      (std::hash<std::string>{}(id) ^ draw) * 0x9E3779B97F4A7C15ULL;
+  return double(mixed >> 11U) / double(1ULL << 53U);
+}
+
+}  // namespace
+
+bool takes_new_work(const EndpointState& endpoint, Millis now) {
+  return endpoint.listed && endpoint.leaving_since == 0 &&
+         endpoint.ejected_until <= now;
+}
+
+std::string choose_endpoint(const RoutingState& state,
+                            const EndpointNeed& need) {
+  const ServiceSpec* service = nullptr;
+  if (state.manifest) {
+    const auto found = state.manifest->services.find(need.service);
+    if (found != state.manifest->services.end()) service = &found->second;
+  }
+  std::string best;
+  double least = 0;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    if (endpoint.entry.service != need.service || id == need.except) continue;
+    if (!takes_new_work(endpoint, state.now)) continue;
+    const double cost = burden(state, endpoint, need, service) +
+                        kSpread * spread(id, state.random);
+    if (!best.empty() && cost >= least) continue;
+    best = id;
+    least = cost;
+  }
+  return best;
+}
+
+double failure_share_at(const EndpointState& endpoint, Millis now) {
+  const auto age = double(std::max<Millis>(0, now - endpoint.failure_noted));
+  return endpoint.failure_share * std::exp2(-age / kFailureHalfLife);
+}
+
+void note_answer(EndpointState& endpoint, bool failed, Millis now) {
+  const double before = failure_share_at(endpoint, now);
+  endpoint.failure_share =
+      before + kNewestAnswer * ((failed ? 1.0 : 0.0) - before);
+  endpoint.failure_noted = now;
+  endpoint.losses = 0;
+}
+
+void note_unreachable(EndpointState& endpoint, Millis now) {
+  const std::uint32_t doublings =
+      std::min(endpoint.losses, kMostEjectionDoublings);
+  endpoint.ejected_until = now + (kFirstEjection << doublings);
+  endpoint.losses += 1;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -0,0 +1,37 @@
+#pragma once
+
+// Which endpoint takes a request: the one with the least expected burden.
+
+#include <cstdint>
+#include <string>
+
+#include "libperidotreach/routing/routing_state.h"
+
+namespace peridotreach {
+
+// What a request needs of an endpoint.
+struct EndpointNeed {
+  std::string service;
+  // Tokens that it is projected to hold at its peak; 0 for plain calls.
+  std::uint64_t tokens = 0;
+  // Endpoints that must not be chosen.
+  std::string except;
+};
+
+// Returns the id of the best endpoint, empty if none takes new work.
+std::string choose_endpoint(const RoutingState& state,
+                            const EndpointNeed& need);
+
+// Returns whether the endpoint takes new work now.
+bool takes_new_work(const EndpointState& endpoint, Millis now);
+
+// Returns the failure share of an endpoint, decayed to `now`.
+double failure_share_at(const EndpointState& endpoint, Millis now);
+
+// Notes how an answer of an endpoint went.
+void note_answer(EndpointState& endpoint, bool failed, Millis now);
+
+// Notes that an endpoint could not be connected to, which ejects it.
+void note_unreachable(EndpointState& endpoint, Millis now);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/endpoint_entry.h
@@ -0,0 +1,29 @@
+#pragma once
+
+// An endpoint as service discovery lists it.
+
+#include <cstdint>
+#include <string>
+
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// One listed endpoint. A restart under the same id has another `born_ms`.
+struct EndpointEntry {
+  std::string id;
+  std::string service;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string zone;
+  std::uint32_t slots = 0;
+  bool leaving = false;
+  // How much longer the endpoint stays slow after its start.
+  Millis warm_up = 0;
+  // Wall clock of its start in milliseconds; 0 if it does not say.
+  std::uint64_t born_ms = 0;
+
+  bool operator==(const EndpointEntry&) const = default;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/peer_view.cc
@@ -0,0 +1,79 @@
+#include "libperidotreach/routing/peer_view.h"
+
+#include <algorithm>
+
+namespace peridotreach {
+namespace {
+
+// Addresses of a zone that suffice for its callers.
+constexpr std::size_t kEnoughInZone = 2;
+
+// Addresses given to a caller at the most.
+constexpr std::size_t kMostAddresses = 64;
+
+}  // namespace
+
+void list_peer(PeerView& view, const PeerRecord& record, Millis now) {
+  PeerState& peer = view.peers[record.vm];
+  peer.listed = true;
+  if (peer.first_known == 0) peer.first_known = now;
+  // An entry of an earlier incarnation may be listed late.
+  if (record.incarnation < peer.record.incarnation) return;
+  peer.record = record;
+}
+
+void unlist_peer(PeerView& view, const std::string& vm) {
+  const auto found = view.peers.find(vm);
+  if (found != view.peers.end()) found->second.listed = false;
+}
+
+bool hear_peer(PeerView& view, const PeerRecord& record, bool ready,
+               bool stopping, Millis now) {
+  PeerState& peer = view.peers[record.vm];
+  const bool is_new =
+      peer.heard == 0 || peer.record.incarnation < record.incarnation;
+  if (record.incarnation < peer.record.incarnation) return false;
+  if (peer.first_known == 0) peer.first_known = now;
+  peer.record = record;
+  peer.ready = ready;
+  peer.stopping = stopping;
+  peer.heard = now;
+  return is_new;
+}
+
+bool is_alive(const PeerState& peer, Millis now) {
+  return peer.heard != 0 && now - peer.heard <= kPeerSilence;
+}
+
+std::vector<std::string> forget_peers(PeerView& view, Millis now) {
+  std::vector<std::string> forgotten;
+  for (const auto& [vm, peer] : view.peers) {
+    const Millis last = std::max(peer.heard, peer.first_known);
+    if (peer.listed || now - last <= kPeerMemory) continue;
+    forgotten.push_back(vm);
+  }
+  for (const std::string& vm : forgotten) view.peers.erase(vm);
+  return forgotten;
+}
+
+std::vector<std::string> caller_addresses(const PeerView& view,
+                                          const PeerRecord* self,
+                                          const std::string& zone, Millis now) {
+  std::vector<std::string> all;
+  std::vector<std::string> in_zone;
+  const auto add = [&](const PeerRecord& record) {
+    all.push_back(record.callers);
+    if (record.zone == zone) in_zone.push_back(record.callers);
+  };
+  if (self != nullptr) add(*self);
+  for (const auto& [vm, peer] : view.peers) {
+    if (!is_alive(peer, now) || !peer.ready || peer.stopping) continue;
+    add(peer.record);
+  }
+  std::vector<std::string>& chosen =
+      in_zone.size() >= kEnoughInZone ? in_zone : all;
+  if (chosen.size() > kMostAddresses) chosen.resize(kMostAddresses);
+  return std::move(chosen);
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/peer_view.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// The processes of the fleet as one of them sees it. The store lists them; the
+// view freezes while the store is away, and what peers tell each other decides
+// who is alive.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// How a process can be reached; addresses are ADDRESS:PORT.
+struct PeerRecord {
+  std::string vm;
+  std::string zone;
+  std::string link;
+  std::string callers;
+  std::uint64_t incarnation = 0;
+
+  bool operator==(const PeerRecord&) const = default;
+};
+
+// Silence after which a peer is no longer given to callers: three heartbeats.
+inline constexpr Millis kPeerSilence = 2500;
+
+// Silence after which an unlisted peer is forgotten.
+inline constexpr Millis kPeerMemory = 20 * kSecond;
+
+// A peer and when it was heard last.
+struct PeerState {
+  PeerRecord record;
+  bool listed = false;
+  bool ready = false;
+  bool stopping = false;
+  Millis first_known = 0;
+  // 0 if it was never heard.
+  Millis heard = 0;
+
+  bool operator==(const PeerState&) const = default;
+};
+
+// All peers by VM.
+struct PeerView {
+  std::map<std::string, PeerState> peers;
+
+  bool operator==(const PeerView&) const = default;
+};
+
+// The store lists a peer, or no longer does.
+void list_peer(PeerView& view, const PeerRecord& record, Millis now);
+void unlist_peer(PeerView& view, const std::string& vm);
+
+// A peer told about itself. Returns whether it was unknown, or has restarted.
+bool hear_peer(PeerView& view, const PeerRecord& record, bool ready,
+               bool stopping, Millis now);
+
+// Returns whether a peer counts as alive.
+bool is_alive(const PeerState& peer, Millis now);
+
+// Forgets peers that are neither listed nor heard. Returns their names.
+std::vector<std::string> forget_peers(PeerView& view, Millis now);
+
+// Returns the addresses that callers of `zone` should use: those in their own
+// zone if there are enough of them to bear a loss, else all. `self` is null if
+// this process takes no callers.
+std::vector<std::string> caller_addresses(const PeerView& view,
+                                          const PeerRecord* self,
+                                          const std::string& zone, Millis now);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -0,0 +1,395 @@
+// Requests from arrival to outcome: matching, placement, retries, time-outs.
+
+#include <algorithm>
+
+#include "libperidotreach/routing/endpoint_choice.h"
+#include "libperidotreach/routing/routing_steps.h"
+
+namespace peridotreach {
+namespace {
+
+// Deaths of endpoints with a request in flight after which it is refused. Two
+// may be chance where several endpoints fail together.
+constexpr std::uint32_t kCrashingDeaths = 3;
+
+// When a caller that was refused for want of an endpoint may come back, with
+// a random part that spreads them.
+constexpr Millis kRetryAfter = 250;
+constexpr Millis kRetryAfterSpread = 250;
+
+// Connections that may fail before a request is given up.
+constexpr std::uint32_t kMostConnectFailures = 4;
+
+// Time left below which a further attempt is not worth sending.
+constexpr Millis kLeastTimeLeft = 30;
+
+// Output tokens expected where a caller gives no hint, as a share of the most.
+constexpr double kExpectedShare = 0.5;
+
+// Urgency ranges from 0 to 9 at the endpoint.
+constexpr std::uint32_t kLeastUrgent = 9;
+
+Millis spread_retry_after(const RoutingState& state) {
+  return kRetryAfter + static_cast<Millis>(state.random % kRetryAfterSpread);
+}
+
+std::uint64_t projected_tokens(const CallerRequest& facts) {
+  const double expected = facts.length_hint > 0
+                              ? double(facts.length_hint)
+                              : kExpectedShare * facts.most_output_tokens;
+  const double most = std::max<double>(1, facts.most_output_tokens);
+  return facts.prompt_tokens +
+         static_cast<std::uint64_t>(std::min(expected, most));
+}
+
+std::uint32_t deaths_of_request(const RoutingState& state,
+                                std::uint64_t fingerprint) {
+  std::uint32_t deaths = deaths_of(state.suspects, fingerprint, state.now);
+  for (const auto& [peer, suspects] : state.peer_suspects) {
+    const auto found = suspects.find(fingerprint);
+    if (found != suspects.end()) deaths += found->second;
+  }
+  return deaths;
+}
+
+bool is_overdue(const RoutingState& state, const RequestState& request) {
+  return request.deadline - state.now < kLeastTimeLeft;
+}
+
+// Sends the request to the best endpoint, or refuses it truthfully: no byte of
+// it may have reached an endpoint that did not say that it did not run it.
+void place(const RoutingContext& context, std::uint64_t key,
+           RequestState& request, const std::string& except) {
+  const EndpointNeed need{request.service, request.projected_tokens, except};
+  const std::string chosen = choose_endpoint(context.state, need);
+  if (chosen.empty()) {
+    refuse(context, key, 503, spread_retry_after(context.state), "no_endpoint");
+    return;
+  }
+  start_attempt(context, key, request, chosen, {});
+}
+
+bool may_try_again(const RoutingContext& context, const RequestState& request) {
+  return request.route.kind == CallKind::kIdempotent &&
+         request.sent < request.route.attempts &&
+         !is_overdue(context.state, request) &&
+         may_repeat(context, request.service);
+}
+
+void on_unreachable(const RoutingContext& context, std::uint64_t key,
+                    RequestState& request) {
+  EndpointState* endpoint = find_endpoint(context, request.endpoint);
+  if (endpoint != nullptr) {
+    note_unreachable(*endpoint, context.state.now);
+    record(context, "endpoint_ejected", key,
+           {{"endpoint", request.endpoint},
+            {"cause", "connection failed"},
+            {"until_ms", std::to_string(endpoint->ejected_until)}});
+  }
+  request.sent -= 1;
+  request.connect_failures += 1;
+  if (request.connect_failures >= kMostConnectFailures ||
+      is_overdue(context.state, request)) {
+    refuse(context, key, 503, spread_retry_after(context.state),
+           "endpoints_unreachable");
+    return;
+  }
+  place(context, key, request, request.endpoint);
+}
+
+// A request that ran partly, or may have.
+void on_broken(const RoutingContext& context, std::uint64_t key,
+               RequestState& request) {
+  note_death(context.state.suspects, request.facts.fingerprint,
+             context.state.now);
+  if (request.relaying) {
+    record(
+        context, "outcome", key,
+        {{"status", "broken_off"}, {"cause", "endpoint's stream broke off"}});
+    context.effects.push_back(BreakOff{key, "endpoint_stream_broken"});
+    forget(context, key);
+    return;
+  }
+  if (may_try_again(context, request)) {
+    place(context, key, request, request.endpoint);
+    return;
+  }
+  refuse(context, key, 502, -1, "endpoint_answer_broken");
+}
+
+void deliver(const RoutingContext& context, std::uint64_t key,
+             const RequestState& request, unsigned status) {
+  record(context, "outcome", key,
+         {{"status", std::to_string(status)},
+          {"endpoint", request.endpoint},
+          {"ms", std::to_string(context.state.now - request.arrived)}});
+  note_finished(context.state.suspects, request.facts.fingerprint);
+  context.effects.push_back(DeliverAnswer{key, request.attempt});
+  forget(context, key);
+}
+
+constexpr unsigned kFirstServerError = 500;
+
+void on_whole_answer(const RoutingContext& context, std::uint64_t key,
+                     RequestState& request, unsigned status) {
+  const bool failed = status >= kFirstServerError;
+  if (failed && may_try_again(context, request)) {
+    place(context, key, request, request.endpoint);
+    return;
+  }
+  deliver(context, key, request, status);
+}
+
+void on_not_run(const RoutingContext& context, std::uint64_t key,
+                RequestState& request) {
+  if (request.relaying) {
+    on_broken(context, key, request);
+    return;
+  }
+  if (may_try_again(context, request)) {
+    place(context, key, request, request.endpoint);
+    return;
+  }
+  refuse(context, key, 503, spread_retry_after(context.state),
+         "endpoint_refused");
+}
+
+void note_end(const RoutingContext& context, const RequestState& request,
+              const AttemptEnded& event) {
+  EndpointState* endpoint = find_endpoint(context, request.endpoint);
+  if (endpoint == nullptr || event.end == AttemptEnd::kNotSent) return;
+  if (event.end == AttemptEnd::kMisdirected) {
+    endpoint->listed = false;
+    endpoint->leaving_since = context.state.now;
+    return;
+  }
+  const bool failed =
+      event.end == AttemptEnd::kBroken || event.status >= kFirstServerError;
+  note_answer(*endpoint, failed, context.state.now);
+}
+
+}  // namespace
+
+void book(const RoutingContext& context, RequestState& request,
+          const std::string& endpoint) {
+  if (EndpointState* before = find_endpoint(context, request.endpoint)) {
+    before->own.running -= std::min<std::uint32_t>(before->own.running, 1);
+    before->own.tokens -=
+        std::min(before->own.tokens, request.projected_tokens);
+  }
+  request.endpoint = endpoint;
+  if (EndpointState* after = find_endpoint(context, endpoint)) {
+    after->own.running += 1;
+    after->own.tokens += request.projected_tokens;
+  }
+}
+
+void refuse(const RoutingContext& context, std::uint64_t key, unsigned status,
+            Millis retry_after, const std::string& reason) {
+  std::vector<DecisionField> fields = {{"status", std::to_string(status)},
+                                       {"reason", reason}};
+  if (const RequestState* request = find_request(context, key)) {
+    fields.push_back({"endpoint", request->endpoint});
+    fields.push_back({"attempts", std::to_string(request->attempt)});
+    fields.push_back(
+        {"ms", std::to_string(context.state.now - request->arrived)});
+  }
+  record(context, "outcome", key, std::move(fields));
+  context.effects.push_back(AnswerCaller{key, status, retry_after, reason});
+  forget(context, key);
+}
+
+void forget(const RoutingContext& context, std::uint64_t key) {
+  RequestState* request = find_request(context, key);
+  if (request == nullptr) return;
+  if (request->move.copied) {
+    if (const EndpointState* source =
+            find_endpoint(context, request->endpoint)) {
+      context.effects.push_back(FreeCopy{
+          source->entry.address, source->entry.port, request->move.handle});
+    }
+  }
+  book(context, *request, "");
+  context.state.requests.erase(key);
+}
+
+bool may_repeat(const RoutingContext& context, const std::string& service) {
+  RoutingState& state = context.state;
+  return take_repeat(state.budgets[service], state.self.retries,
+                     state.peers.size() + 1, state.now);
+}
+
+void start_attempt(const RoutingContext& context, std::uint64_t key,
+                   RequestState& request, const std::string& endpoint,
+                   MemorySource source) {
+  RoutingState& state = context.state;
+  book(context, request, endpoint);
+  request.attempt += 1;
+  request.sent += 1;
+  const EndpointState& target = state.endpoints.at(endpoint);
+  StartAttempt attempt;
+  attempt.request = key;
+  attempt.attempt = request.attempt;
+  attempt.endpoint = endpoint;
+  attempt.address = target.entry.address;
+  attempt.port = target.entry.port;
+  attempt.account = request.account;
+  attempt.time_left = request.deadline - state.now;
+  attempt.urgency = std::min(request.rank, kLeastUrgent);
+  attempt.is_stream = request.route.kind == CallKind::kStream;
+  attempt.source = std::move(source);
+  record(context, "placed", key,
+         {{"id", request.facts.id},
+          {"route", request.route.name},
+          {"endpoint", endpoint},
+          {"attempt", std::to_string(request.attempt)},
+          {"manifest", std::to_string(state.manifest->version)},
+          {"tokens", std::to_string(request.projected_tokens)},
+          {"endpoint_tokens",
+           std::to_string(target.own.tokens + target.peers.tokens)},
+          {"endpoint_running",
+           std::to_string(target.own.running + target.peers.running)},
+          {"time_left_ms", std::to_string(attempt.time_left)}});
+  context.effects.push_back(std::move(attempt));
+}
+
+void on_request(const RoutingContext& context, const RequestArrived& event) {
+  RoutingState& state = context.state;
+  const CallerRequest& facts = event.facts;
+  const auto answer = [&](unsigned status, Millis retry_after,
+                          const char* reason) {
+    record(context, "outcome", event.request,
+           {{"id", facts.id},
+            {"status", std::to_string(status)},
+            {"reason", reason}});
+    context.effects.push_back(
+        AnswerCaller{event.request, status, retry_after, reason});
+  };
+  if (!state.manifest) {
+    answer(503, spread_retry_after(state), "no_manifest");
+    return;
+  }
+  const Route* route = match_route(*state.manifest, facts.host, facts.path);
+  if (route == nullptr) {
+    answer(404, -1, "no_route");
+    return;
+  }
+  const Account* account = account_of(*state.manifest, facts.key);
+  const bool let_in =
+      route->open_to_all || !state.manifest->has_accounts || account != nullptr;
+  if (!let_in) {
+    answer(401, -1, "unknown_key");
+    return;
+  }
+  if (deaths_of_request(state, facts.fingerprint) >= kCrashingDeaths) {
+    answer(503, -1, "crashes_endpoints");
+    return;
+  }
+  RequestState request;
+  request.facts = facts;
+  request.route = *route;
+  request.service = pick_service(*route, state.random);
+  if (account != nullptr) request.account = account->name;
+  request.rank =
+      account != nullptr ? account->rank.value_or(route->rank) : route->rank;
+  request.arrived = state.now;
+  const Millis patience = facts.patience > 0 ? facts.patience : route->timeout;
+  request.deadline = state.now + std::min(patience, route->timeout);
+  if (route->kind == CallKind::kStream) {
+    request.projected_tokens = projected_tokens(facts);
+  }
+  note_request(state.budgets[request.service], state.self.retries, state.now);
+  RequestState& kept =
+      state.requests.emplace(event.request, std::move(request)).first->second;
+  place(context, event.request, kept, "");
+}
+
+void on_caller_left(const RoutingContext& context, const CallerLeft& event) {
+  const RequestState* request = find_request(context, event.request);
+  if (request == nullptr) return;
+  record(context, "outcome", event.request,
+         {{"id", request->facts.id},
+          {"status", "caller_left"},
+          {"ms", std::to_string(context.state.now - request->arrived)}});
+  context.effects.push_back(DropAttempt{event.request, request->attempt});
+  forget(context, event.request);
+}
+
+void on_attempt_ended(const RoutingContext& context,
+                      const AttemptEnded& event) {
+  RequestState* request = find_request(context, event.request);
+  if (request == nullptr) return;
+  if (on_source_ended(context, event.request, *request, event)) return;
+  if (event.attempt != request->attempt) return;
+  note_end(context, *request, event);
+  switch (event.end) {
+    case AttemptEnd::kNotSent:
+      on_unreachable(context, event.request, *request);
+      return;
+    case AttemptEnd::kNotRun:
+    case AttemptEnd::kMisdirected:
+      on_not_run(context, event.request, *request);
+      return;
+    case AttemptEnd::kWhole:
+      if (request->relaying) {
+        on_broken(context, event.request, *request);
+        return;
+      }
+      on_whole_answer(context, event.request, *request, event.status);
+      return;
+    case AttemptEnd::kStreamEnded:
+      record(context, "outcome", event.request,
+             {{"status", "complete"},
+              {"endpoint", request->endpoint},
+              {"events", std::to_string(request->events)},
+              {"ms", std::to_string(context.state.now - request->arrived)}});
+      note_finished(context.state.suspects, request->facts.fingerprint);
+      context.effects.push_back(FinishStream{event.request});
+      forget(context, event.request);
+      return;
+    case AttemptEnd::kBroken:
+      on_broken(context, event.request, *request);
+      return;
+  }
+}
+
+void on_stream_opened(const RoutingContext& context,
+                      const StreamOpened& event) {
+  RequestState* request = find_request(context, event.request);
+  if (request == nullptr || event.attempt != request->attempt) return;
+  if (!request->relaying) request->opened = context.state.now;
+  request->relaying = true;
+  context.effects.push_back(RelayStream{event.request, event.attempt});
+}
+
+void on_stream_event(const RoutingContext& context,
+                     const StreamEventArrived& event) {
+  RequestState* request = find_request(context, event.request);
+  if (request == nullptr || event.attempt != request->attempt) return;
+  request->events += 1;
+  request->last_event = event.event_id;
+}
+
+void end_overdue_requests(const RoutingContext& context) {
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [key, request] : context.state.requests) {
+    if (request.deadline <= context.state.now) overdue.push_back(key);
+  }
+  for (const std::uint64_t key : overdue) {
+    const RequestState& request = context.state.requests.at(key);
+    context.effects.push_back(DropAttempt{key, request.attempt});
+    if (!request.relaying) {
+      refuse(context, key, 504, -1, "timeout");
+      continue;
+    }
+    record(context, "outcome", key,
+           {{"id", request.facts.id},
+            {"status", "broken_off"},
+            {"cause", "timeout"},
+            {"events", std::to_string(request.events)}});
+    context.effects.push_back(BreakOff{key, "timeout"});
+    forget(context, key);
+  }
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -0,0 +1,116 @@
+#pragma once
+
+// Effects of the routing reducer.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// Where a generation's memory lies for a request that goes on from it.
+struct MemorySource {
+  std::string address;
+  std::uint16_t port = 0;
+  std::string handle;
+  // The last event that the caller has.
+  std::int64_t last_event = 0;
+
+  bool operator==(const MemorySource&) const = default;
+};
+
+// Sends the request to an endpoint.
+struct StartAttempt {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+  std::string endpoint;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string account;
+  // What the endpoint may still use of the caller's time.
+  Millis time_left = 0;
+  // Order at the endpoint, 0 first.
+  std::uint32_t urgency = 0;
+  bool is_stream = false;
+  // Set if `source.handle` is not empty.
+  MemorySource source;
+};
+
+// Closes the connection of an attempt, which makes the endpoint stop.
+struct DropAttempt {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+};
+
+// Gives the caller the whole answer of an attempt.
+struct DeliverAnswer {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+};
+
+// Starts to relay the events of an attempt to the caller.
+struct RelayStream {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+};
+
+// Ends a relayed stream as complete.
+struct FinishStream {
+  std::uint64_t request = 0;
+};
+
+// Answers with a status of our own. 503 and 429 promise that the request has
+// not run; `retry_after` goes with them if it is not negative.
+struct AnswerCaller {
+  std::uint64_t request = 0;
+  unsigned status = 503;
+  Millis retry_after = -1;
+  std::string reason;
+};
+
+// Ends the caller's connection in mid answer.
+struct BreakOff {
+  std::uint64_t request = 0;
+  std::string reason;
+};
+
+// Asks the endpoint that runs a generation to copy its memory to another.
+// `stop` ends the run at the source once all is copied.
+struct CopyGeneration {
+  std::uint64_t request = 0;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string target_address;
+  std::uint16_t target_port = 0;
+  bool stop = false;
+};
+
+// Frees a copy that is not used, at both ends.
+struct FreeCopy {
+  std::string address;
+  std::uint16_t port = 0;
+  std::string handle;
+};
+
+// One field of a decision's record.
+struct DecisionField {
+  std::string name;
+  std::string value;
+};
+
+// A decision or a change of belief, for the log.
+struct RecordDecision {
+  std::string decision;
+  std::uint64_t request = 0;
+  std::vector<DecisionField> fields;
+};
+
+using RoutingEffect =
+    std::variant<StartAttempt, DropAttempt, DeliverAnswer, RelayStream,
+                 FinishStream, AnswerCaller, BreakOff, CopyGeneration, FreeCopy,
+                 RecordDecision>;
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/routing_event.h
@@ -0,0 +1,164 @@
+#pragma once
+
+// Events of the routing reducer. Requests are numbered by the process; a
+// number is used once. Attempts of a request are numbered from 1.
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "libperidotreach/routing/endpoint_entry.h"
+#include "libperidotreach/routing/manifest.h"
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// A part of a prompt that requests may share.
+struct PromptPart {
+  std::string id;
+  std::uint32_t tokens = 0;
+
+  bool operator==(const PromptPart&) const = default;
+};
+
+// A caller's request as it arrived, apart from its bytes.
+struct CallerRequest {
+  std::string id;
+  std::string method;
+  std::string host;
+  // Path without the query.
+  std::string path;
+  std::string key;
+  // How long the caller waits; 0 if it does not say.
+  Millis patience = 0;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t most_output_tokens = 0;
+  // The caller's guess of the output's length; 0 if it gives none.
+  std::uint32_t length_hint = 0;
+  std::vector<PromptPart> prompt_parts;
+  // Equal for requests that ask for the same thing.
+  std::uint64_t fingerprint = 0;
+
+  bool operator==(const CallerRequest&) const = default;
+};
+
+// A version of the manifest was taken from the store or a peer.
+struct ManifestTaken {
+  Manifest manifest;
+};
+
+// Discovery lists an endpoint, or lists it anew.
+struct EndpointListed {
+  EndpointEntry entry;
+};
+
+// Discovery no longer lists an endpoint.
+struct EndpointUnlisted {
+  std::string id;
+};
+
+// A request was read whole.
+struct RequestArrived {
+  std::uint64_t request = 0;
+  CallerRequest facts;
+};
+
+// A caller closed its connection.
+struct CallerLeft {
+  std::uint64_t request = 0;
+};
+
+// The answer of an attempt, or how it ended without one.
+enum class AttemptEnd {
+  // No byte of the request left for the endpoint.
+  kNotSent,
+  // The endpoint stated that it did not run the request.
+  kNotRun,
+  // Another endpoint answers at the address.
+  kMisdirected,
+  // A whole answer with the endpoint's stamp.
+  kWhole,
+  // A stream ended as its endpoint meant it to.
+  kStreamEnded,
+  // The answer broke off, is not one, or belongs to another request.
+  kBroken,
+};
+
+// Load that an endpoint reports of itself.
+struct ReportedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+
+  bool operator==(const ReportedLoad&) const = default;
+};
+
+// An attempt is over.
+struct AttemptEnded {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+  AttemptEnd end = AttemptEnd::kBroken;
+  unsigned status = 0;
+};
+
+// The head of a stream arrived; events follow.
+struct StreamOpened {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+};
+
+// A whole event of a stream arrived.
+struct StreamEventArrived {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+  std::int64_t event_id = 0;
+};
+
+// An endpoint answered a request to copy a generation's memory.
+struct CopyAnswered {
+  std::uint64_t request = 0;
+  // 0 if no answer came.
+  unsigned status = 0;
+  std::string handle;
+  // Events that the generation had made when the copy was complete.
+  std::int64_t events_made = 0;
+};
+
+// Use of one endpoint by one process.
+struct EndpointUse {
+  std::string endpoint;
+  std::uint32_t running = 0;
+  // Tokens that its requests are projected to hold at their peak.
+  std::uint64_t tokens = 0;
+
+  bool operator==(const EndpointUse&) const = default;
+};
+
+// A peer told how it uses endpoints; replaces what it told before.
+struct PeerUseArrived {
+  std::string peer;
+  std::vector<EndpointUse> uses;
+  // Fingerprints of requests in flight when an endpoint died, with a count.
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
+};
+
+// A peer left or is silent.
+struct PeerLost {
+  std::string peer;
+};
+
+// Time passes; sent at a fixed interval while requests are in flight.
+struct RoutingTicked {};
+
+// One event with the time at which it happened and a random number.
+struct RoutingEvent {
+  Millis at = 0;
+  std::uint64_t random = 0;
+  std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, RequestArrived,
+               CallerLeft, AttemptEnded, StreamOpened, StreamEventArrived,
+               CopyAnswered, PeerUseArrived, PeerLost, RoutingTicked>
+      body;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -0,0 +1,177 @@
+#include "libperidotreach/routing/routing_reducer.h"
+
+#include <algorithm>
+
+#include "libperidotreach/routing/endpoint_choice.h"
+#include "libperidotreach/routing/routing_steps.h"
+
+namespace peridotreach {
+namespace {
+
+// How long a listed endpoint's state is kept once it is gone and unused.
+constexpr Millis kGoneMemory = 30 * kSecond;
+
+void apply(const RoutingContext& context, const ManifestTaken& event) {
+  RoutingState& state = context.state;
+  if (state.manifest && event.manifest.version <= state.manifest->version) {
+    return;
+  }
+  state.manifest = event.manifest;
+  record(context, "manifest_taken", 0,
+         {{"version", std::to_string(event.manifest.version)}});
+}
+
+void start_leaving(const RoutingContext& context, EndpointState& endpoint,
+                   const char* cause) {
+  if (endpoint.leaving_since != 0) return;
+  endpoint.leaving_since = context.state.now;
+  record(context, "endpoint_leaving", 0,
+         {{"endpoint", endpoint.entry.id}, {"cause", cause}});
+}
+
+void apply(const RoutingContext& context, const EndpointListed& event) {
+  RoutingState& state = context.state;
+  const EndpointEntry& entry = event.entry;
+  const auto found = state.endpoints.find(entry.id);
+  const bool known = found != state.endpoints.end();
+  const bool reborn = known && found->second.entry.born_ms != entry.born_ms;
+  if (!known || reborn) {
+    EndpointState fresh;
+    fresh.own.endpoint = fresh.peers.endpoint = entry.id;
+    if (reborn) fresh.own = found->second.own;
+    state.endpoints[entry.id] = fresh;
+    record(context, "endpoint_listed", 0,
+           {{"endpoint", entry.id}, {"service", entry.service}});
+  }
+  EndpointState& endpoint = state.endpoints[entry.id];
+  const bool returned = !endpoint.listed;
+  endpoint.entry = entry;
+  endpoint.listed = true;
+  endpoint.warm_until = state.now + entry.warm_up;
+  if (entry.leaving) start_leaving(context, endpoint, "notice");
+  if (!entry.leaving && returned) endpoint.leaving_since = 0;
+  plan_moves(context);
+}
+
+void apply(const RoutingContext& context, const EndpointUnlisted& event) {
+  EndpointState* endpoint = find_endpoint(context, event.id);
+  if (endpoint == nullptr || !endpoint->listed) return;
+  endpoint->listed = false;
+  start_leaving(context, *endpoint, "unlisted");
+  plan_moves(context);
+}
+
+void apply(const RoutingContext& context, const RequestArrived& event) {
+  on_request(context, event);
+}
+
+void apply(const RoutingContext& context, const CallerLeft& event) {
+  on_caller_left(context, event);
+}
+
+void apply(const RoutingContext& context, const AttemptEnded& event) {
+  on_attempt_ended(context, event);
+}
+
+void apply(const RoutingContext& context, const StreamOpened& event) {
+  on_stream_opened(context, event);
+}
+
+void apply(const RoutingContext& context, const StreamEventArrived& event) {
+  on_stream_event(context, event);
+}
+
+void apply(const RoutingContext& context, const CopyAnswered& event) {
+  on_copy_answered(context, event);
+}
+
+// Recomputes what peers use of the endpoints named in `uses`.
+void sum_peers(RoutingState& state,
+               const std::map<std::string, EndpointUse>& uses) {
+  for (const auto& [id, ignored] : uses) {
+    const auto found = state.endpoints.find(id);
+    if (found == state.endpoints.end()) continue;
+    EndpointUse& sum = found->second.peers;
+    sum.running = 0;
+    sum.tokens = 0;
+    for (const auto& [peer, theirs] : state.peers) {
+      const auto use = theirs.find(id);
+      if (use == theirs.end()) continue;
+      sum.running += use->second.running;
+      sum.tokens += use->second.tokens;
+    }
+  }
+}
+
+void apply(const RoutingContext& context, const PeerUseArrived& event) {
+  RoutingState& state = context.state;
+  std::map<std::string, EndpointUse> touched = state.peers[event.peer];
+  std::map<std::string, EndpointUse> uses;
+  for (const EndpointUse& use : event.uses) uses[use.endpoint] = use;
+  touched.insert(uses.begin(), uses.end());
+  state.peers[event.peer] = std::move(uses);
+  sum_peers(state, touched);
+  auto& suspects = state.peer_suspects[event.peer];
+  suspects.clear();
+  for (const auto& [fingerprint, deaths] : event.suspects) {
+    suspects[fingerprint] = deaths;
+  }
+}
+
+void apply(const RoutingContext& context, const PeerLost& event) {
+  RoutingState& state = context.state;
+  const auto found = state.peers.find(event.peer);
+  if (found == state.peers.end()) return;
+  const std::map<std::string, EndpointUse> touched = std::move(found->second);
+  state.peers.erase(found);
+  state.peer_suspects.erase(event.peer);
+  sum_peers(state, touched);
+}
+
+void apply(const RoutingContext& context, const RoutingTicked&) {
+  RoutingState& state = context.state;
+  end_overdue_requests(context);
+  plan_moves(context);
+  expire_suspects(state.suspects, state.now);
+  std::erase_if(state.endpoints, [&](const auto& entry) {
+    const EndpointState& endpoint = entry.second;
+    return !endpoint.listed && endpoint.own.running == 0 &&
+           state.now - endpoint.leaving_since > kGoneMemory;
+  });
+}
+
+}  // namespace
+
+void record(const RoutingContext& context, std::string decision,
+            std::uint64_t request, std::vector<DecisionField> fields) {
+  context.effects.push_back(
+      RecordDecision{std::move(decision), request, std::move(fields)});
+}
+
+RequestState* find_request(const RoutingContext& context, std::uint64_t key) {
+  const auto found = context.state.requests.find(key);
+  return found == context.state.requests.end() ? nullptr : &found->second;
+}
+
+EndpointState* find_endpoint(const RoutingContext& context,
+                             const std::string& id) {
+  const auto found = context.state.endpoints.find(id);
+  return found == context.state.endpoints.end() ? nullptr : &found->second;
+}
+
+RoutingState initial_routing_state(const RoutingSelf& self) {
+  RoutingState state;
+  state.self = self;
+  return state;
+}
+
+RoutingStep reduce(RoutingState state, const RoutingEvent& event) {
+  RoutingStep step{std::move(state), {}};
+  step.state.now = std::max(step.state.now, event.at);
+  step.state.random = event.random;
+  const RoutingContext context{step.state, step.effects};
+  std::visit([&](const auto& body) { apply(context, body); }, event.body);
+  return step;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/routing_state.h
@@ -0,0 +1,115 @@
+#pragma once
+
+// State of the routing reducer of one process.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "libperidotreach/quarantine.h"
+#include "libperidotreach/routing/manifest.h"
+#include "libperidotreach/routing/retry_budget.h"
+#include "libperidotreach/routing/routing_event.h"
+#include "libperidotreach/time.h"
+
+namespace peridotreach {
+
+// Who this process is and what bounds it.
+struct RoutingSelf {
+  std::string vm;
+  std::string zone;
+  RetryAllowance retries;
+
+  bool operator==(const RoutingSelf&) const = default;
+};
+
+// An endpoint and what this process believes of it.
+struct EndpointState {
+  EndpointEntry entry;
+  bool listed = true;
+  // When it was first known to leave; 0 if it stays.
+  Millis leaving_since = 0;
+  Millis warm_until = 0;
+  // Failures among recent answers, from 0 to 1, decaying.
+  double failure_share = 0;
+  Millis failure_noted = 0;
+  // Connections that failed in a row.
+  std::uint32_t losses = 0;
+  Millis ejected_until = 0;
+  // Use by this process and by all peers.
+  EndpointUse own;
+  EndpointUse peers;
+
+  bool operator==(const EndpointState&) const = default;
+};
+
+// How far the move of a generation has come.
+enum class MovePhase {
+  kNone,
+  // Memory is copied while the generation runs on.
+  kCopying,
+  // The generation stops and the rest is copied.
+  kStopping,
+  // It goes on at the target once the source's stream has ended.
+  kResuming,
+};
+
+// The move of one generation.
+struct GenerationMove {
+  MovePhase phase = MovePhase::kNone;
+  std::string target;
+  std::uint32_t tries = 0;
+  std::string handle;
+  std::int64_t events_made = 0;
+  bool copied = false;
+  bool source_ended = false;
+  // Not moved before this time.
+  Millis not_before = 0;
+
+  bool operator==(const GenerationMove&) const = default;
+};
+
+// One request in flight.
+struct RequestState {
+  CallerRequest facts;
+  Route route;
+  std::string service;
+  std::string account;
+  std::uint32_t rank = 0;
+  Millis arrived = 0;
+  // When the answer is due at the latest.
+  Millis deadline = 0;
+  std::uint32_t attempt = 0;
+  // Attempts of which a byte may have reached an endpoint.
+  std::uint32_t sent = 0;
+  std::uint32_t connect_failures = 0;
+  std::string endpoint;
+  std::uint64_t projected_tokens = 0;
+  bool relaying = false;
+  Millis opened = 0;
+  std::int64_t last_event = 0;
+  std::uint32_t events = 0;
+  GenerationMove move;
+
+  bool operator==(const RequestState&) const = default;
+};
+
+// Everything the reducer knows.
+struct RoutingState {
+  RoutingSelf self;
+  Millis now = 0;
+  std::uint64_t random = 1;
+  std::optional<Manifest> manifest;
+  std::map<std::string, EndpointState> endpoints;
+  std::map<std::uint64_t, RequestState> requests;
+  std::map<std::string, RetryBudget> budgets;
+  std::map<std::string, std::map<std::string, EndpointUse>> peers;
+  // Fingerprints in flight at deaths, here and as peers told.
+  Quarantine suspects;
+  std::map<std::string, std::map<std::uint64_t, std::uint32_t>> peer_suspects;
+
+  bool operator==(const RoutingState&) const = default;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// Steps that the parts of the routing reducer share.
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libperidotreach/routing/routing_effect.h"
+#include "libperidotreach/routing/routing_state.h"
+
+namespace peridotreach {
+
+// The state being changed and the effects so far.
+struct RoutingContext {
+  RoutingState& state;
+  std::vector<RoutingEffect>& effects;
+};
+
+// Records a decision on a request, or a change of belief if it is 0.
+void record(const RoutingContext& context, std::string decision,
+            std::uint64_t request, std::vector<DecisionField> fields);
+
+// Returns the request, null if it is over.
+RequestState* find_request(const RoutingContext& context, std::uint64_t key);
+
+// Returns the endpoint, null if it is not known.
+EndpointState* find_endpoint(const RoutingContext& context,
+                             const std::string& id);
+
+// Books the request on its endpoint, or off it.
+void book(const RoutingContext& context, RequestState& request,
+          const std::string& endpoint);
+
+// Ends the request with a status of our own.
+void refuse(const RoutingContext& context, std::uint64_t key, unsigned status,
+            Millis retry_after, const std::string& reason);
+
+// Forgets the request and frees what it holds.
+void forget(const RoutingContext& context, std::uint64_t key);
+
+// Takes one repeat of the service from the budget.
+bool may_repeat(const RoutingContext& context, const std::string& service);
+
+// Sends the request to `endpoint`; `source` names the memory it goes on from.
+void start_attempt(const RoutingContext& context, std::uint64_t key,
+                   RequestState& request, const std::string& endpoint,
+                   MemorySource source);
+
+// Requests (routed_requests.cc).
+void on_request(const RoutingContext& context, const RequestArrived& event);
+void on_caller_left(const RoutingContext& context, const CallerLeft& event);
+void on_attempt_ended(const RoutingContext& context, const AttemptEnded& event);
+void on_stream_opened(const RoutingContext& context, const StreamOpened& event);
+void on_stream_event(const RoutingContext& context,
+                     const StreamEventArrived& event);
+void end_overdue_requests(const RoutingContext& context);
+
+// Moves (generation_moves.cc).
+void plan_moves(const RoutingContext& context);
+void on_copy_answered(const RoutingContext& context, const CopyAnswered& event);
+// Takes the end of an attempt whose generation is being moved. Returns whether
+// the end belongs to the move.
+bool on_source_ended(const RoutingContext& context, std::uint64_t key,
+                     RequestState& request, const AttemptEnded& event);
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/caller_session.cc
@@ -0,0 +1,267 @@
+#include "peridot-router/caller_session.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <cerrno>
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "peridot-router/router_node.h"
+
+namespace peridotreach {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr unsigned kHttpVersion = 11;
+
+// Bytes read at once while waiting for a request; most requests fit.
+constexpr std::size_t kReadSize = 4096;
+
+// Time for a caller to take what is written to it. A caller that takes
+// nothing for longer has given up.
+constexpr auto kWriteTimeout = std::chrono::seconds(30);
+
+auto in(Millis timeout) { return std::chrono::milliseconds(timeout); }
+
+// Whether the peer has closed its side; other bytes are its next request.
+bool peer_closed(tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t got =
+      recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) return false;
+  if (got == 0) return true;
+  return errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
+RawRequest raw_request(http::request<http::string_body>& message) {
+  RawRequest raw;
+  raw.method = std::string(message.method_string());
+  raw.target = std::string(message.target());
+  for (const auto& field : message) {
+    raw.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  raw.body = std::move(message.body());
+  return raw;
+}
+
+unsigned status_of(error_code reason) {
+  if (reason == http::error::header_limit) return 431;
+  if (reason == http::error::body_limit) return 413;
+  return 400;
+}
+
+bool worth_answering(error_code reason) {
+  return reason.category() ==
+             http::make_error_code(http::error::end_of_stream).category() &&
+         reason != http::error::end_of_stream &&
+         reason != http::error::partial_message;
+}
+
+}  // namespace
+
+CallerSession::CallerSession(tcp::socket socket, RouterNode& node)
+    : stream_(std::move(socket)), node_(node) {}
+
+void CallerSession::close_if_idle() {
+  if (!idle_) return;
+  error_code ignored;
+  stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  stream_.close();
+}
+
+awaitable<bool> CallerSession::wait_for_request() {
+  if (buffer_.size() > 0) co_return true;
+  if (node_.stopping()) co_return false;
+  idle_ = true;
+  error_code failed;
+  stream_.expires_after(in(node_.caller_limits().idle_timeout));
+  const std::size_t got = co_await stream_.async_read_some(
+      buffer_.prepare(kReadSize),
+      asio::redirect_error(asio::use_awaitable, failed));
+  buffer_.commit(got);
+  idle_ = false;
+  co_return !failed;
+}
+
+awaitable<bool> CallerSession::read_request(Parser& parser) {
+  const CallerLimits& limits = node_.caller_limits();
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
+  parser.eager(true);
+  error_code failed;
+  stream_.expires_after(in(limits.header_timeout));
+  co_await http::async_read_header(
+      stream_, buffer_, parser,
+      asio::redirect_error(asio::use_awaitable, failed));
+  if (!failed && !parser.is_done()) {
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> go_on(http::status::continue_,
+                                             kHttpVersion);
+      co_await http::async_write(
+          stream_, go_on, asio::redirect_error(asio::use_awaitable, failed));
+    }
+    stream_.expires_after(in(limits.idle_timeout));
+    if (!failed) {
+      co_await http::async_read(
+          stream_, buffer_, parser,
+          asio::redirect_error(asio::use_awaitable, failed));
+    }
+  }
+  stream_.expires_never();
+  if (!failed) co_return true;
+  if (worth_answering(failed)) co_await refuse_unread(status_of(failed));
+  co_return false;
+}
+
+awaitable<void> CallerSession::refuse_unread(unsigned status) {
+  CallerAnswer answer;
+  answer.status = status;
+  answer.headers = {{"Content-Type", "text/plain"}};
+  answer.body = "the request could not be read\n";
+  co_await write_answer(answer, false, false);
+}
+
+awaitable<void> CallerSession::run() {
+  const auto self = shared_from_this();
+  while (co_await wait_for_request()) {
+    auto parser = std::make_unique<Parser>();
+    if (!co_await read_request(*parser)) break;
+    const bool keep_alive = parser->get().keep_alive();
+    const auto exchange = node_.open_exchange(raw_request(parser->get()));
+    parser.reset();
+    const bool open = co_await serve(exchange, keep_alive);
+    node_.close_exchange(*exchange);
+    if (!open || caller_gone_) break;
+  }
+  error_code ignored;
+  stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+void CallerSession::watch_caller(const std::shared_ptr<Exchange>& exchange) {
+  stream_.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), exchange](error_code failed) {
+        if (failed || exchange->over()) return;
+        if (!peer_closed(self->stream_.socket())) return;
+        self->caller_gone_ = true;
+        self->node_.caller_left(*exchange);
+        exchange->break_off();
+      });
+}
+
+awaitable<bool> CallerSession::serve(const std::shared_ptr<Exchange>& exchange,
+                                     bool keep_alive) {
+  node_.start_exchange(exchange);
+  watch_caller(exchange);
+  bool open = false;
+  while (true) {
+    co_await exchange->wait_changed();
+    if (caller_gone_) break;
+    if (const auto answer = exchange->take_answer()) {
+      const bool stays = keep_alive && !node_.stopping();
+      const bool is_head = exchange->request().method == "HEAD";
+      open = co_await write_answer(*answer, stays, is_head) && stays;
+      break;
+    }
+    if (const auto head = exchange->take_head()) {
+      const bool stays = keep_alive && !node_.stopping();
+      open = co_await write_head(*head, stays) &&
+             co_await relay_stream(*exchange, keep_alive) && stays;
+      break;
+    }
+    if (exchange->broken()) break;
+  }
+  exchange->set_over();
+  error_code ignored;
+  stream_.socket().cancel(ignored);
+  co_return open;
+}
+
+awaitable<bool> CallerSession::relay_stream(Exchange& exchange,
+                                            bool keep_alive) {
+  static_cast<void>(keep_alive);
+  while (true) {
+    co_await exchange.wait_changed();
+    if (caller_gone_) co_return false;
+    std::string bytes = exchange.take_bytes();
+    const bool last = exchange.finished();
+    if (!bytes.empty() || last) {
+      if (!co_await write_chunk(std::move(bytes), last)) {
+        node_.caller_left(exchange);
+        co_return false;
+      }
+      if (last) co_return true;
+      continue;
+    }
+    if (exchange.broken()) co_return false;
+  }
+}
+
+awaitable<bool> CallerSession::write_answer(const CallerAnswer& answer,
+                                            bool keep_alive, bool is_head) {
+  http::response<http::string_body> message;
+  message.version(kHttpVersion);
+  message.result(answer.status);
+  for (const HttpHeader& header : answer.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.keep_alive(keep_alive);
+  if (!is_head) {
+    message.body() = answer.body;
+    message.content_length(answer.body.size());
+  }
+  error_code failed;
+  stream_.expires_after(kWriteTimeout);
+  co_await http::async_write(stream_, message,
+                             asio::redirect_error(asio::use_awaitable, failed));
+  stream_.expires_never();
+  co_return !failed;
+}
+
+awaitable<bool> CallerSession::write_head(const CallerAnswer& head,
+                                          bool keep_alive) {
+  http::response<http::empty_body> message;
+  message.version(kHttpVersion);
+  message.result(head.status);
+  for (const HttpHeader& header : head.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.keep_alive(keep_alive);
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  error_code failed;
+  stream_.expires_after(kWriteTimeout);
+  co_await http::async_write_header(
+      stream_, serializer, asio::redirect_error(asio::use_awaitable, failed));
+  stream_.expires_never();
+  co_return !failed;
+}
+
+awaitable<bool> CallerSession::write_chunk(std::string bytes, bool last) {
+  std::string framed;
+  if (!bytes.empty()) {
+    constexpr int kHex = 16;
+    char size[kHex + 1] = {};
+    const auto end = std::to_chars(size, size + kHex, bytes.size(), kHex).ptr;
+    framed.append(size, end);
+    framed += "\r\n";
+    framed += bytes;
+    framed += "\r\n";
+  }
+  if (last) framed += "0\r\n\r\n";
+  error_code failed;
+  stream_.expires_after(kWriteTimeout);
+  co_await asio::async_write(stream_, asio::buffer(framed),
+                             asio::redirect_error(asio::use_awaitable, failed));
+  stream_.expires_never();
+  co_return !failed;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/caller_session.h
@@ -0,0 +1,54 @@
+#pragma once
+
+// One connection of a caller: reads requests, hands each to the node and
+// writes what comes back.
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+
+#include "peridot-router/exchange.h"
+#include "runtime/asio.h"
+
+namespace peridotreach {
+
+class RouterNode;
+
+// The connection of one caller. Owned by the coroutine that runs it; the node
+// holds a weak reference to close it when the process stops.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(tcp::socket socket, RouterNode& node);
+
+  // Serves requests until the connection ends.
+  awaitable<void> run();
+
+  // Closes the connection if no request is being read or served.
+  void close_if_idle();
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  awaitable<bool> wait_for_request();
+  awaitable<bool> read_request(Parser& parser);
+  awaitable<bool> serve(const std::shared_ptr<Exchange>& exchange,
+                        bool keep_alive);
+  awaitable<bool> write_answer(const CallerAnswer& answer, bool keep_alive,
+                               bool is_head);
+  awaitable<bool> write_head(const CallerAnswer& head, bool keep_alive);
+  awaitable<bool> write_chunk(std::string bytes, bool last);
+  awaitable<bool> relay_stream(Exchange& exchange, bool keep_alive);
+  awaitable<void> refuse_unread(unsigned status);
+  void watch_caller(const std::shared_ptr<Exchange>& exchange);
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  RouterNode& node_;
+  bool idle_ = false;
+  bool caller_gone_ = false;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/peer_exchange.cc
@@ -0,0 +1,221 @@
+#include "peridot-router/peer_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "fleet.pb.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+
+namespace peridotreach {
+namespace {
+
+// Interval of heartbeats while nothing changes.
+constexpr Millis kHeartbeat = 800;
+
+// Shortest interval of digests; with more peers it grows, so that a process
+// spends a bounded share of its time on them.
+constexpr Millis kLeastInterval = 60;
+constexpr Millis kIntervalPerPeer = 8;
+
+// A table may lag for this long while the store's own news is on its way.
+constexpr Millis kTableLag = 200;
+
+// Interval of questions for the same table.
+constexpr Millis kAskInterval = 300;
+
+void fill(proto::PeerCell& cell, const PeerRecord& record) {
+  cell.set_vm(record.vm);
+  cell.set_zone(record.zone);
+  cell.set_link(record.link);
+  cell.set_callers(record.callers);
+  cell.set_incarnation(record.incarnation);
+}
+
+PeerRecord record_of(const proto::PeerCell& cell) {
+  return {cell.vm(), cell.zone(), cell.link(), cell.callers(),
+          cell.incarnation()};
+}
+
+}  // namespace
+
+PeerExchange::PeerExchange(asio::io_context& io, PeerRecord self,
+                           PeerHandlers handlers)
+    : self_(std::move(self)),
+      handlers_(std::move(handlers)),
+      link_(io, {}, self_.vm + "/" + std::to_string(self_.incarnation)) {}
+
+Result<std::uint16_t> PeerExchange::start(
+    const HttpTarget& link, const std::vector<HttpTarget>& seeds) {
+  for (const HttpTarget& seed : seeds) {
+    const std::string place = seed.address + ":" + std::to_string(seed.port);
+    if (place != self_.link) seeds_.push_back(place);
+  }
+  return link_.start(
+      link.address, link.port,
+      [this](const std::string& from, const proto::Envelope& message) {
+        receive(from, message);
+      });
+}
+
+proto::Envelope PeerExchange::envelope() const {
+  proto::Envelope message;
+  message.set_version(kEnvelopeVersion);
+  message.set_vm(self_.vm);
+  message.set_incarnation(self_.incarnation);
+  return message;
+}
+
+proto::Envelope PeerExchange::digest_of(const OwnDigest& own) const {
+  proto::Envelope message = envelope();
+  proto::RoutingDigest& digest = *message.mutable_digest();
+  fill(*digest.mutable_self(), self_);
+  digest.set_ready(own.ready);
+  digest.set_stopping(own.stopping);
+  digest.set_manifest_revision(handlers_.table(kManifestTable).revision);
+  digest.set_endpoints_revision(handlers_.table(kEndpointTable).revision);
+  for (const EndpointUse& use : own.uses) {
+    proto::EndpointUseCell& cell = *digest.add_uses();
+    cell.set_endpoint(use.endpoint);
+    cell.set_running(use.running);
+    cell.set_tokens(use.tokens);
+  }
+  for (const auto& [fingerprint, deaths] : own.suspects) {
+    proto::SuspectCell& cell = *digest.add_suspects();
+    cell.set_fingerprint(fingerprint);
+    cell.set_deaths(deaths);
+  }
+  return message;
+}
+
+void PeerExchange::send(const std::string& link,
+                        const proto::Envelope& message) {
+  const std::size_t colon = link.rfind(':');
+  if (colon == std::string::npos) return;
+  std::uint16_t port = 0;
+  const auto parsed =
+      std::from_chars(link.data() + colon + 1, link.data() + link.size(), port);
+  if (parsed.ec != std::errc()) return;
+  link_.send(link.substr(0, colon), port, message);
+}
+
+void PeerExchange::tick(const OwnDigest& own, Millis now) {
+  for (const std::string& vm : forget_peers(view_, now)) {
+    log(LogLevel::kInfo, "peer_forgotten", {{"peer", vm}});
+    handlers_.on_lost(vm);
+  }
+  const auto peers = static_cast<Millis>(view_.peers.size());
+  const Millis interval = std::max(kLeastInterval, kIntervalPerPeer * peers);
+  const Millis since = now - told_at_;
+  if (since < interval) return;
+  const bool changed =
+      !(own == told_) ||
+      handlers_.table(kManifestTable).revision != told_manifest_ ||
+      handlers_.table(kEndpointTable).revision != told_endpoints_;
+  if (!changed && since < kHeartbeat) return;
+  broadcast(own, now);
+}
+
+void PeerExchange::broadcast(const OwnDigest& own, Millis now) {
+  const proto::Envelope message = digest_of(own);
+  bool any_heard = false;
+  for (const auto& [vm, peer] : view_.peers) {
+    if (vm == self_.vm) continue;
+    any_heard = any_heard || peer.heard != 0;
+    send(peer.record.link, message);
+  }
+  if (!any_heard) {
+    for (const std::string& seed : seeds_) send(seed, message);
+  }
+  told_ = own;
+  told_at_ = now;
+  told_manifest_ = handlers_.table(kManifestTable).revision;
+  told_endpoints_ = handlers_.table(kEndpointTable).revision;
+}
+
+void PeerExchange::hear(const proto::RoutingDigest& digest, Millis now) {
+  const PeerRecord record = record_of(digest.self());
+  if (record.vm.empty() || record.vm == self_.vm) return;
+  const bool is_new =
+      hear_peer(view_, record, digest.ready(), digest.stopping(), now);
+  for (const proto::PeerCell& cell : digest.peers()) {
+    if (view_.peers.contains(cell.vm()) || cell.vm() == self_.vm) continue;
+    PeerState& peer = view_.peers[cell.vm()];
+    peer.record = record_of(cell);
+    peer.first_known = now;
+  }
+  if (is_new) {
+    log(LogLevel::kInfo, "peer_heard",
+        {{"peer", record.vm},
+         {"incarnation", std::to_string(record.incarnation)}});
+    proto::Envelope welcome = digest_of(told_);
+    for (const auto& [vm, peer] : view_.peers) {
+      if (vm == record.vm || !is_alive(peer, now)) continue;
+      fill(*welcome.mutable_digest()->add_peers(), peer.record);
+    }
+    send(record.link, welcome);
+  }
+  PeerUseArrived use;
+  use.peer = record.vm;
+  for (const proto::EndpointUseCell& cell : digest.uses()) {
+    use.uses.push_back({cell.endpoint(), cell.running(), cell.tokens()});
+  }
+  for (const proto::SuspectCell& cell : digest.suspects()) {
+    use.suspects.emplace_back(cell.fingerprint(), cell.deaths());
+  }
+  handlers_.on_use(use);
+  catch_up(kManifestTable, digest.manifest_revision(), record.link, now);
+  catch_up(kEndpointTable, digest.endpoints_revision(), record.link, now);
+}
+
+void PeerExchange::catch_up(const std::string& table, std::uint64_t theirs,
+                            const std::string& link, Millis now) {
+  const std::uint64_t ours = handlers_.table(table).revision;
+  if (theirs <= ours) return;
+  TableLag& lag = lags_[table];
+  if (lag.since == 0 || lag.revision != ours) lag = {ours, now, 0};
+  // An empty table belongs to a process that has just started.
+  if (ours != 0 && now - lag.since < kTableLag) return;
+  if (lag.asked != 0 && now - lag.asked < kAskInterval) return;
+  lag.asked = now;
+  proto::Envelope question = envelope();
+  question.set_table_wanted(table);
+  send(link, question);
+}
+
+void PeerExchange::receive(const std::string& from,
+                           const proto::Envelope& message) {
+  const Millis now = monotonic_now();
+  if (message.has_digest()) {
+    hear(message.digest(), now);
+    return;
+  }
+  if (message.body_case() == proto::Envelope::kTableWanted) {
+    const SharedTableState& table = handlers_.table(message.table_wanted());
+    proto::Envelope answer = envelope();
+    proto::SharedTable& shared = *answer.mutable_table();
+    shared.set_name(message.table_wanted());
+    shared.set_revision(table.revision);
+    for (const auto& [key, value] : table.items) {
+      proto::SharedItem& item = *shared.add_items();
+      item.set_key(key);
+      item.set_value(value);
+    }
+    link_.reply(from, answer);
+    return;
+  }
+  if (!message.has_table()) return;
+  SharedTableState table;
+  table.revision = message.table().revision();
+  for (const proto::SharedItem& item : message.table().items()) {
+    table.items[item.key()] = item.value();
+  }
+  log(LogLevel::kInfo, "table_from_peer",
+      {{"table", message.table().name()},
+       {"peer", message.vm()},
+       {"revision", std::to_string(table.revision)}});
+  handlers_.on_table(message.table().name(), std::move(table));
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/peer_exchange.h
@@ -0,0 +1,94 @@
+#pragma once
+
+// What router processes tell each other: that they live, how they use
+// endpoints, which versions of the shared tables they hold, and the tables
+// themselves when one of them lags.
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "libperidotreach/routing/peer_view.h"
+#include "libperidotreach/routing/routing_event.h"
+#include "peridot-router/shared_table.h"
+#include "runtime/control_link.h"
+#include "runtime/http_client.h"
+
+namespace peridotreach {
+
+namespace proto {
+class RoutingDigest;
+}
+
+// Names of the shared tables.
+inline constexpr const char* kManifestTable = "manifest";
+inline constexpr const char* kEndpointTable = "endpoints";
+
+// What this process tells of itself.
+struct OwnDigest {
+  bool ready = false;
+  bool stopping = false;
+  std::vector<EndpointUse> uses;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
+
+  bool operator==(const OwnDigest&) const = default;
+};
+
+// What a process does with what peers tell.
+struct PeerHandlers {
+  std::function<void(const PeerUseArrived&)> on_use;
+  std::function<void(const std::string& vm)> on_lost;
+  std::function<void(const std::string& table, SharedTableState)> on_table;
+  std::function<const SharedTableState&(const std::string& table)> table;
+};
+
+// A table of ours that is behind a peer's.
+struct TableLag {
+  // Our revision when it was seen, and since when.
+  std::uint64_t revision = 0;
+  Millis since = 0;
+  // When the table was last asked for; 0 if not yet.
+  Millis asked = 0;
+
+  bool operator==(const TableLag&) const = default;
+};
+
+// The exchange of one process with its peers.
+class PeerExchange {
+ public:
+  PeerExchange(asio::io_context& io, PeerRecord self, PeerHandlers handlers);
+
+  // Listens for peers.
+  Result<std::uint16_t> start(const HttpTarget& link,
+                              const std::vector<HttpTarget>& seeds);
+
+  // Tells peers if something changed or a heartbeat is due.
+  void tick(const OwnDigest& own, Millis now);
+
+  PeerView& view() { return view_; }
+  const PeerRecord& self() const { return self_; }
+  const LinkCounts& counts() const { return link_.counts(); }
+
+ private:
+  void receive(const std::string& from, const proto::Envelope& message);
+  void hear(const proto::RoutingDigest& digest, Millis now);
+  void catch_up(const std::string& table, std::uint64_t theirs,
+                const std::string& link, Millis now);
+  void send(const std::string& link, const proto::Envelope& message);
+  void broadcast(const OwnDigest& own, Millis now);
+  proto::Envelope digest_of(const OwnDigest& own) const;
+  proto::Envelope envelope() const;
+
+  PeerRecord self_;
+  PeerHandlers handlers_;
+  ControlLink link_;
+  PeerView view_;
+  std::vector<std::string> seeds_;
+  OwnDigest told_;
+  Millis told_at_ = 0;
+  std::uint64_t told_manifest_ = 0;
+  std::uint64_t told_endpoints_ = 0;
+  std::map<std::string, TableLag> lags_;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/router_metrics.cc
@@ -0,0 +1,59 @@
+#include "peridot-router/router_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace peridotreach {
+namespace {
+
+// Milliseconds; from a fast plain call to a stream that waited in a queue.
+const prometheus::Histogram::BucketBoundaries kFirstByteBuckets = {
+    10, 20, 40, 80, 150, 300, 600, 1000, 1500, 2500, 4000, 8000, 16000};
+
+const std::string& field_of(const RecordDecision& decision,
+                            const std::string& name) {
+  static const std::string kNone;
+  for (const DecisionField& field : decision.fields) {
+    if (field.name == name) return field.value;
+  }
+  return kNone;
+}
+
+}  // namespace
+
+RouterMetrics::RouterMetrics()
+    : decisions_(prometheus::BuildCounter()
+                     .Name("peridot_router_decisions_total")
+                     .Help("Decisions on requests and changes of belief.")
+                     .Register(registry_)),
+      first_byte_(prometheus::BuildHistogram()
+                      .Name("peridot_router_first_byte_ms")
+                      .Help("Time from arrival to the answer's first byte.")
+                      .Register(registry_)),
+      gauges_(prometheus::BuildGauge()
+                  .Name("peridot_router_state")
+                  .Help("Present state of the router.")
+                  .Register(registry_)) {}
+
+void RouterMetrics::count(const RecordDecision& decision) {
+  decisions_
+      .Add({{"decision", decision.decision},
+            {"status", field_of(decision, "status")},
+            {"reason", field_of(decision, "reason")}})
+      .Increment();
+}
+
+void RouterMetrics::observe_first_byte(const std::string& kind,
+                                       Millis duration) {
+  first_byte_.Add({{"kind", kind}}, kFirstByteBuckets)
+      .Observe(static_cast<double>(duration));
+}
+
+void RouterMetrics::set(const std::string& name, double value) {
+  gauges_.Add({{"name", name}}).Set(value);
+}
+
+std::string RouterMetrics::text() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/router_node.h
@@ -0,0 +1,117 @@
+#pragma once
+
+// One router process: runs the routing reducer on its I/O thread and performs
+// its effects.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libperidotreach/routing/routing_reducer.h"
+#include "peridot-router/endpoint_attempt.h"
+#include "peridot-router/exchange.h"
+#include "peridot-router/peer_exchange.h"
+#include "peridot-router/router_metrics.h"
+#include "peridot-router/router_settings.h"
+#include "peridot-router/shared_table.h"
+#include "peridot-router/wire_format.h"
+#include "runtime/http_server.h"
+
+namespace peridotreach {
+
+class CallerSession;
+
+// Turns items of the shared tables into typed values; supplied by the
+// deployment's adapter, as the wire format is.
+struct TableFormat {
+  std::function<Result<Manifest>(const std::string& value)> manifest;
+  std::function<Result<EndpointEntry>(const std::string& key,
+                                      const std::string& value)>
+      endpoint;
+};
+
+// The router of one VM.
+class RouterNode {
+ public:
+  RouterNode(asio::io_context& io, RouterSettings settings, WireFormat wire,
+             TableFormat tables, std::uint64_t incarnation);
+  ~RouterNode();
+  RouterNode(const RouterNode&) = delete;
+  RouterNode& operator=(const RouterNode&) = delete;
+
+  // Listens on all addresses.
+  Result<std::uint16_t> start();
+
+  // Starts a planned stop; `on_stopped` is called when nothing is in flight
+  // or time is up.
+  void stop(std::function<void()> on_stopped);
+
+  // The store's news. `value` is null if the item was removed.
+  void change_item(const std::string& table, const std::string& key,
+                   const std::string* value, std::uint64_t revision);
+  void replace(const std::string& table, SharedTableState state);
+  PeerView& peers() { return peers_.view(); }
+  const PeerRecord& self() const { return peers_.self(); }
+
+  // For caller sessions.
+  std::shared_ptr<Exchange> open_exchange(RawRequest request);
+  void start_exchange(const std::shared_ptr<Exchange>& exchange);
+  void close_exchange(const Exchange& exchange);
+  void caller_left(const Exchange& exchange);
+  const CallerLimits& caller_limits() const;
+  bool stopping() const { return stopping_since_ != 0; }
+
+  const RoutingState& state() const { return state_; }
+
+ private:
+  void post(decltype(RoutingEvent::body) body);
+  void perform(StartAttempt& effect);
+  void perform(const DropAttempt& effect);
+  void perform(const DeliverAnswer& effect);
+  void perform(const RelayStream& effect);
+  void perform(const FinishStream& effect);
+  void perform(const AnswerCaller& effect);
+  void perform(const BreakOff& effect);
+  void perform(const CopyGeneration& effect);
+  void perform(const FreeCopy& effect);
+  void perform(const RecordDecision& effect);
+
+  std::shared_ptr<Exchange> find_exchange(std::uint64_t request) const;
+  void on_item(const std::string& table, const std::string& key,
+               const std::string* value);
+  awaitable<void> copy(CopyGeneration order, std::string id);
+  awaitable<void> free_copy(FreeCopy order);
+  awaitable<void> accept_callers();
+  awaitable<void> keep_time();
+  awaitable<void> answer_address(HttpExchange& exchange);
+  awaitable<void> answer_readiness(HttpExchange& exchange);
+  OwnDigest own_digest() const;
+  bool ready() const;
+  void tend_stop(Millis now);
+
+  using AttemptKey = std::pair<std::uint64_t, std::uint32_t>;
+
+  asio::io_context& io_;
+  RouterSettings settings_;
+  WireFormat wire_;
+  TableFormat table_format_;
+  RoutingState state_;
+  std::map<std::string, SharedTableState> tables_;
+  PeerExchange peers_;
+  RouterMetrics metrics_;
+  std::map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
+  std::map<AttemptKey, std::shared_ptr<EndpointAttempt>> attempts_;
+  std::vector<std::weak_ptr<CallerSession>> sessions_;
+  std::shared_ptr<tcp::acceptor> acceptor_;
+  std::vector<decltype(RoutingEvent::body)> pending_;
+  bool reducing_ = false;
+  std::uint64_t next_request_ = 1;
+  CallerLimits default_limits_;
+  Millis stopping_since_ = 0;
+  std::function<void()> on_stopped_;
+};
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/shared_table.cc
@@ -0,0 +1,39 @@
+#include "peridot-router/shared_table.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace peridotreach {
+
+void change_item(SharedTableState& table, const std::string& key,
+                 const std::string* value, std::uint64_t revision,
+                 const ItemChanged& changed) {
+  table.revision = std::max(table.revision, revision);
+  if (value == nullptr) {
+    if (table.items.erase(key) > 0) changed(key, nullptr);
+    return;
+  }
+  std::string& held = table.items[key];
+  if (held == *value) return;
+  held = *value;
+  changed(key, value);
+}
+
+void replace_table(SharedTableState& table, SharedTableState newer,
+                   const ItemChanged& changed) {
+  if (newer.revision < table.revision) return;
+  std::vector<std::string> removed;
+  for (const auto& [key, value] : table.items) {
+    if (!newer.items.contains(key)) removed.push_back(key);
+  }
+  for (const std::string& key : removed) {
+    change_item(table, key, nullptr, newer.revision, changed);
+  }
+  for (const auto& [key, value] : newer.items) {
+    change_item(table, key, &value, newer.revision, changed);
+  }
+  table.revision = newer.revision;
+}
+
+}  // namespace peridotreach
--- /dev/null
+++ b/src/peridot-router/wire_format.h
@@ -0,0 +1,70 @@
+#pragma once
+
+// What the router needs to know of a deployment's wire format, as functions
+// that the deployment's adapter supplies. The router knows no header's name.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "libperidotreach/routing/routing_effect.h"
+#include "libperidotreach/routing/routing_event.h"
+#include "runtime/http_client.h"
+#include "runtime/http_types.h"
+
+namespace peridotreach {
+
+// A caller's request as it was read.
+struct RawRequest {
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::string body;
+};
+
+// What the head of an endpoint's answer says.
+struct AnswerFacts {
+  // The request that the answer belongs to, empty if it does not say.
+  std::string request_id;
+  // The endpoint's stamp vouches for the answer.
+  bool stamped = false;
+  // The endpoint states that it did not run the request.
+  bool not_run = false;
+  // The body is encoded, so it is not the endpoint's.
+  bool encoded = false;
+  bool is_event_stream = false;
+  // The endpoint is leaving or closes the connection.
+  bool closes = false;
+};
+
+// How an endpoint answered a request to copy a generation.
+struct CopyFacts {
+  std::string handle;
+  std::int64_t events_made = 0;
+};
+
+struct WireFormat {
+  std::function<CallerRequest(const RawRequest&)> decode_request;
+  // The request as the endpoint gets it.
+  std::function<ClientRequest(const RawRequest&, const StartAttempt&)>
+      endpoint_request;
+  std::function<AnswerFacts(unsigned status, const std::vector<HttpHeader>&)>
+      decode_answer;
+  // Headers of the endpoint's answer that the caller gets.
+  std::function<std::vector<HttpHeader>(const std::vector<HttpHeader>&)>
+      caller_headers;
+  // Headers of an answer of our own.
+  std::function<std::vector<HttpHeader>(const RawRequest&, Millis retry_after)>
+      own_headers;
+  std::function<ClientRequest(const CopyGeneration&, const std::string& id)>
+      copy_request;
+  std::function<CopyFacts(const std::string& body)> decode_copy;
+  std::function<ClientRequest(const FreeCopy&)> free_request;
+  // The answer to the question which addresses to use.
+  std::function<HttpResponse(const std::vector<std::string>& addresses,
+                             Millis life)>
+      address_answer;
+};
+
+}  // namespace peridotreach
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -1,5 +1,8 @@
 #include "runtime/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <chrono>
@@ -7,6 +10,7 @@
 #include <utility>
 
 #include "runtime/clock.h"
+#include "runtime/log.h"
 
 namespace peridotreach {
 namespace {
@@ -18,6 +22,33 @@
 // The largest whole answer read, in bytes.
 constexpr std::size_t kMostAnswer = 16u << 20u;
 
+// Keep-alive probes find a peer that went dark within about four seconds.
+constexpr int kProbeAfterSeconds = 2;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 2;
+
+// Bytes that stay unacknowledged for this long end the connection.
+constexpr unsigned kUnacknowledgedMs = 4000;
+
+template <class Number>
+void set_tcp_option(tcp::socket& socket, int option, Number number) {
+  const int failed = setsockopt(socket.native_handle(), IPPROTO_TCP, option,
+                                &number, sizeof number);
+  if (failed != 0) {
+    log(LogLevel::kDebug, "a TCP option cannot be set here",
+        {{"option", std::to_string(option)}});
+  }
+}
+
+void watch_for_silence(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  set_tcp_option(socket, TCP_KEEPIDLE, kProbeAfterSeconds);
+  set_tcp_option(socket, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  set_tcp_option(socket, TCP_KEEPCNT, kProbes);
+  set_tcp_option(socket, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
+
 auto in(Millis timeout) { return std::chrono::milliseconds(timeout); }
 
 }  // namespace
@@ -36,6 +67,7 @@
   if (failed) co_return false;
   error_code ignored;
   stream_.socket().set_option(tcp::no_delay(true), ignored);
+  watch_for_silence(stream_.socket());
   co_return true;
 }
 
@@ -44,14 +76,17 @@
   message.method_string(request.method);
   message.target(request.target);
   message.version(kHttpVersion);
-  message.set(http::field::host, host_);
-  message.set(http::field::content_type, request.content_type);
+  message.set(http::field::host, request.host.empty() ? host_ : request.host);
+  if (!request.content_type.empty()) {
+    message.set(http::field::content_type, request.content_type);
+  }
   for (const HttpHeader& header : request.headers) {
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   }
   message.body() = std::move(request.body);
   message.prepare_payload();
   parser_.emplace();
+  if (request.method == "HEAD") parser_->skip(true);
   parser_->body_limit(boost::none);
   sent_ = true;
   stream_.expires_after(in(timeout));
@@ -97,6 +132,15 @@
   return std::string(found->value());
 }
 
+std::vector<HttpHeader> HttpConnection::headers() const {
+  std::vector<HttpHeader> all;
+  for (const auto& field : parser_->get()) {
+    all.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return all;
+}
+
 void HttpConnection::close() { stream_.close(); }
 
 awaitable<ClientAnswer> exchange(asio::io_context& io, HttpTarget target,
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -27,10 +27,12 @@
   bool operator==(const HttpTarget&) const = default;
 };
 
-// What a client sends; `target` is path and query.
+// What a client sends; `target` is path and query. An empty `host` means the
+// server's address, an empty `content_type` leaves the field out.
 struct ClientRequest {
   std::string method = "GET";
   std::string target = "/";
+  std::string host;
   std::vector<HttpHeader> headers;
   std::string content_type = "application/json";
   std::string body;
@@ -57,6 +59,12 @@
   // Returns a header of the answer.
   std::string header(const std::string& name) const;
 
+  // Returns all headers of the answer in their order.
+  std::vector<HttpHeader> headers() const;
+
+  // Whether bytes beyond the answer have arrived, which belong to no request.
+  bool has_excess() const { return buffer_.size() > 0; }
+
   bool sent() const { return sent_; }
 
   // Whether the whole answer was read.
