Reset the end flag when a connection is used again

Cause: a second answer on a kept connection counted as ended before it was read, so every other call to the store failed. Change: the flag is reset with each send.

--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -86,6 +86,7 @@
   message.body() = std::move(request.body);
   message.prepare_payload();
   parser_.emplace();
+  ended_ = false;
   if (request.method == "HEAD") parser_->skip(true);
   parser_->body_limit(boost::none);
   sent_ = true;
