Let copies kept by a second engine take over; book targets of moves

Cause: moves all chose the same target, which had no room, and crashed engines took their generations along.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -42,12 +42,15 @@
   return endpoint.entry.slots == 0 ? kDefaultSlots : endpoint.entry.slots;
 }
 
-double memory_burden(const EndpointState& endpoint, const EngineShape& engine,
-                     std::uint64_t tokens) {
+double memory_share(const EndpointState& endpoint, const EngineShape& engine,
+                    std::uint64_t tokens) {
   const double capacity = std::max(1.0, double(engine.memory_tokens));
   const auto held =
       double(endpoint.own.tokens + endpoint.peers.tokens + tokens);
-  const double share = held / capacity;
+  return held / capacity;
+}
+
+double memory_burden(double share) {
   return share + kOverfullBurden * std::max(0.0, share - 1.0);
 }
 
@@ -59,7 +62,7 @@
   double sum = batch;
   if (service != nullptr && service->engine && need.tokens > 0) {
     sum = kBatchBurden * batch +
-          memory_burden(endpoint, *service->engine, need.tokens);
+          memory_burden(memory_share(endpoint, *service->engine, need.tokens));
   }
   sum += kFailureBurden * failure_share_at(endpoint, state.now);
   if (endpoint.entry.zone != state.self.zone) sum += kOtherZoneBurden;
@@ -91,8 +94,14 @@
   std::string best;
   double least = 0;
   for (const auto& [id, endpoint] : state.endpoints) {
-    if (endpoint.entry.service != need.service || id == need.except) continue;
+    if (endpoint.entry.service != need.service) continue;
+    if (need.except.contains(id)) continue;
     if (!takes_new_work(endpoint, state.now)) continue;
+    const bool has_memory = service != nullptr && service->engine;
+    if (has_memory && memory_share(endpoint, *service->engine, need.tokens) >
+                          need.most_memory) {
+      continue;
+    }
     const double cost = burden(state, endpoint, need, service) +
                         kSpread * spread(id, state.random);
     if (!best.empty() && cost >= least) continue;
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -3,19 +3,25 @@
 // Which endpoint takes a request: the one with the least expected burden.
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 #include "libperidotreach/routing/routing_state.h"
 
 namespace peridotreach {
 
+// No bound on the memory projected in use: the endpoint queues what is over.
+inline constexpr double kAnyMemory = 1e9;
+
 // What a request needs of an endpoint.
 struct EndpointNeed {
   std::string service;
   // Tokens that it is projected to hold at its peak; 0 for plain calls.
   std::uint64_t tokens = 0;
   // Endpoints that must not be chosen.
-  std::string except;
+  std::set<std::string> except;
+  // The largest share of an engine's memory that may be projected in use.
+  double most_memory = kAnyMemory;
 };
 
 // Returns the id of the best endpoint, empty if none takes new work.
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -1,6 +1,7 @@
-// Moves of running generations off endpoints that leave: memory is copied
-// while the generation runs on, then it stops, the rest is copied, and it goes
-// on at the target from the last event that the caller has.
+// Generations that go on elsewhere. An endpoint that keeps a copy of the
+// memory takes over at once. Without one the memory is copied while the
+// generation runs on, then it stops, the rest is copied, and it goes on at the
+// target from the last event that the caller has.
 
 #include <algorithm>
 
@@ -11,23 +12,23 @@
 namespace {
 
 // Moves of one generation that may be tried from one endpoint.
-constexpr std::uint32_t kMostMoveTries = 3;
+constexpr std::uint32_t kMostMoveTries = 8;
 
 // Pause before a failed move is tried again.
-constexpr Millis kMoveRetryPause = 150;
+constexpr Millis kMoveRetryPause = 60;
 
 // Copies of one source that run at the same time. Copies share the source's
 // link, so more of them only delay the first.
 constexpr std::uint32_t kCopiesAtOnce = 1;
 
-const EngineShape* engine_of(const RoutingState& state,
-                             const std::string& service) {
-  if (!state.manifest) return nullptr;
+constexpr unsigned kOk = 200;
+constexpr unsigned kNoRoom = 503;
+
+bool can_move(const RoutingState& state, const std::string& service) {
+  if (!state.manifest) return false;
   const auto found = state.manifest->services.find(service);
-  if (found == state.manifest->services.end() || !found->second.engine) {
-    return nullptr;
-  }
-  return &*found->second.engine;
+  return found != state.manifest->services.end() && found->second.engine &&
+         found->second.engine->can_move;
 }
 
 std::uint32_t copies_from(const RoutingState& state,
@@ -41,6 +42,29 @@
   return copies;
 }
 
+void count_repeat(const RoutingContext& context, const RequestState& request) {
+  take_repeat(context.state.budgets[request.service],
+              context.state.self.retries, 1, context.state.now);
+}
+
+bool is_leaving(const RoutingState& state, const std::string& endpoint) {
+  const auto found = state.endpoints.find(endpoint);
+  return found != state.endpoints.end() && found->second.leaving_since != 0;
+}
+
+bool has_live_backup(const RoutingContext& context,
+                     const RequestState& request) {
+  const EndpointState* backup = find_endpoint(context, request.backup);
+  return backup != nullptr && takes_new_work(*backup, context.state.now);
+}
+
+// Returns the source that names the copy at the request's backup.
+MemorySource backup_source(const RoutingContext& context,
+                           const RequestState& request) {
+  const EndpointEntry& entry = context.state.endpoints.at(request.backup).entry;
+  return {entry.address, entry.port, request.facts.id, request.last_event};
+}
+
 void ask_copy(const RoutingContext& context, std::uint64_t key,
               const RequestState& request, bool stop) {
   const EndpointEntry& source =
@@ -58,28 +82,64 @@
 }
 
 bool wants_to_move(const RoutingState& state, const RequestState& request) {
-  if (!request.relaying || request.move.phase != MovePhase::kNone) return false;
-  if (request.move.tries >= kMostMoveTries) return false;
-  if (request.move.not_before > state.now) return false;
-  const auto endpoint = state.endpoints.find(request.endpoint);
-  if (endpoint == state.endpoints.end()) return false;
-  if (endpoint->second.leaving_since == 0) return false;
-  const EngineShape* engine = engine_of(state, request.service);
-  return engine != nullptr && engine->can_move;
+  return request.relaying && request.move.phase == MovePhase::kNone &&
+         request.move.tries < kMostMoveTries &&
+         request.move.not_before <= state.now &&
+         is_leaving(state, request.endpoint) &&
+         can_move(state, request.service);
 }
 
-void start_move(const RoutingContext& context, std::uint64_t key,
+// Holds the present attempt and asks the backup to take over.
+void start_switch(const RoutingContext& context, std::uint64_t key,
+                  RequestState& request) {
+  const std::string backup = request.backup;
+  MemorySource source = backup_source(context, request);
+  record(context, "switch_started", key,
+         {{"from", request.endpoint},
+          {"to", backup},
+          {"events", std::to_string(request.events)}});
+  request.held_attempt = request.attempt;
+  request.held_endpoint = request.endpoint;
+  request.move.phase = MovePhase::kSwitching;
+  context.effects.push_back(HoldAttempt{key, request.held_attempt, true});
+  count_repeat(context, request);
+  start_attempt(context, key, request, backup, std::move(source));
+}
+
+// The backup did not take over: the present attempt goes on.
+void undo_switch(const RoutingContext& context, std::uint64_t key,
+                 RequestState& request, AttemptEnd end) {
+  record(context, "switch_failed", key,
+         {{"to", request.endpoint},
+          {"end", std::to_string(static_cast<int>(end))}});
+  drop_backup(context, request);
+  book(context, request, request.held_endpoint);
+  context.effects.push_back(HoldAttempt{key, request.held_attempt, false});
+  request.attempt = request.held_attempt;
+  request.held_attempt = 0;
+  request.held_endpoint.clear();
+  clear_move(context, request);
+}
+
+// Copies to the endpoint with the most room among those that have not said
+// that they have none.
+void start_copy(const RoutingContext& context, std::uint64_t key,
                 RequestState& request) {
-  const EndpointNeed need{request.service, request.projected_tokens,
-                          request.endpoint};
+  EndpointNeed need;
+  need.service = request.service;
+  need.tokens = request.projected_tokens;
+  need.except = request.move.full;
+  need.except.insert(request.endpoint);
   const std::string target = choose_endpoint(context.state, need);
   if (target.empty()) return;
-  request.move.phase = MovePhase::kCopying;
-  request.move.target = target;
-  request.move.tries += 1;
+  GenerationMove& move = request.move;
+  move.phase = MovePhase::kCopying;
+  move.target = target;
+  move.tries += 1;
+  move.booked = request.projected_tokens;
+  book_copy(context, target, move.booked);
   record(context, "move_started", key,
-         {{"id", request.facts.id},
-          {"from", request.endpoint},
+         {{"from", request.endpoint},
           {"to", target},
           {"events", std::to_string(request.events)}});
   ask_copy(context, key, request, false);
@@ -88,100 +148,151 @@
 void end_move(const RoutingContext& context, std::uint64_t key,
               RequestState& request, unsigned status) {
   record(context, "move_failed", key,
-         {{"id", request.facts.id},
-          {"from", request.endpoint},
+         {{"from", request.endpoint},
           {"to", request.move.target},
           {"status", std::to_string(status)}});
-  const std::uint32_t tries = request.move.tries;
-  request.move = GenerationMove();
-  request.move.tries = tries;
+  if (status == kNoRoom) request.move.full.insert(request.move.target);
+  clear_move(context, request);
   request.move.not_before = context.state.now + kMoveRetryPause;
 }
 
 // Goes on at the target once the source's stream has ended and all is copied.
 void resume_if_ready(const RoutingContext& context, std::uint64_t key,
                      RequestState& request) {
-  GenerationMove& move = request.move;
+  const GenerationMove move = request.move;
   if (move.phase != MovePhase::kResuming) return;
   const bool drained =
       move.source_ended || request.last_event >= move.events_made;
   if (!drained) return;
-  const EndpointEntry source =
+  const EndpointEntry& source =
       context.state.endpoints.at(request.endpoint).entry;
   MemorySource memory{source.address, source.port, move.handle,
                       request.last_event};
-  const std::string target = move.target;
   if (!move.source_ended) {
     context.effects.push_back(DropAttempt{key, request.attempt});
   }
   record(context, "move_resumed", key,
-         {{"id", request.facts.id},
-          {"from", request.endpoint},
-          {"to", target},
+         {{"from", request.endpoint},
+          {"to", move.target},
           {"last_event", std::to_string(request.last_event)},
           {"events_made", std::to_string(move.events_made)}});
-  request.move = GenerationMove();
-  take_repeat(context.state.budgets[request.service],
-              context.state.self.retries, 1, context.state.now);
-  start_attempt(context, key, request, target, std::move(memory));
+  clear_move(context, request);
+  request.move.tries = 0;
+  count_repeat(context, request);
+  start_attempt(context, key, request, move.target, std::move(memory));
+}
+
+void on_copied(const RoutingContext& context, std::uint64_t key,
+               RequestState& request, unsigned status) {
+  if (status != kOk) {
+    end_move(context, key, request, status);
+    return;
+  }
+  request.move.phase = MovePhase::kStopping;
+  ask_copy(context, key, request, true);
+}
+
+void on_stopped(const RoutingContext& context, std::uint64_t key,
+                RequestState& request, const CopyAnswered& event) {
+  if (event.status != kOk && event.handle.empty()) {
+    const bool over = request.move.source_ended;
+    end_move(context, key, request, event.status);
+    if (!over) return;
+    context.effects.push_back(BreakOff{key, "move_failed"});
+    forget(context, key);
+    return;
+  }
+  // The source keeps the memory when the target has no room for the rest.
+  if (event.status != kOk) request.move.target = request.endpoint;
+  request.move.phase = MovePhase::kResuming;
+  request.move.events_made = event.events_made;
+  resume_if_ready(context, key, request);
 }
 
 }  // namespace
 
+void clear_move(const RoutingContext& context, RequestState& request) {
+  GenerationMove& move = request.move;
+  unbook_copy(context, move.target, move.booked);
+  GenerationMove cleared;
+  cleared.tries = move.tries;
+  cleared.full = std::move(move.full);
+  move = std::move(cleared);
+}
+
+bool resume_at_backup(const RoutingContext& context, std::uint64_t key,
+                      RequestState& request) {
+  if (!has_live_backup(context, request)) return false;
+  const std::string backup = request.backup;
+  MemorySource source = backup_source(context, request);
+  record(context, "resumed_at_backup", key,
+         {{"from", request.endpoint},
+          {"to", backup},
+          {"last_event", std::to_string(request.last_event)}});
+  clear_move(context, request);
+  count_repeat(context, request);
+  start_attempt(context, key, request, backup, std::move(source));
+  return true;
+}
+
+void on_taken_over(const RoutingContext& context, std::uint64_t key,
+                   RequestState& request) {
+  if (request.held_attempt == 0) return;
+  context.effects.push_back(DropAttempt{key, request.held_attempt});
+  request.held_attempt = 0;
+  request.held_endpoint.clear();
+  clear_move(context, request);
+  request.move.tries = 0;
+  record(context, "switched", key, {{"to", request.endpoint}});
+}
+
 void plan_moves(const RoutingContext& context) {
   RoutingState& state = context.state;
   for (auto& [key, request] : state.requests) {
     if (!wants_to_move(state, request)) continue;
+    if (has_live_backup(context, request)) {
+      start_switch(context, key, request);
+      continue;
+    }
     if (copies_from(state, request.endpoint) >= kCopiesAtOnce) continue;
-    start_move(context, key, request);
+    start_copy(context, key, request);
   }
 }
 
 void on_copy_answered(const RoutingContext& context,
                       const CopyAnswered& event) {
-  constexpr unsigned kOk = 200;
   RequestState* request = find_request(context, event.request);
-  if (request == nullptr || request->move.phase == MovePhase::kNone) return;
-  GenerationMove& move = request->move;
+  if (request == nullptr) return;
   if (!event.handle.empty()) {
-    move.handle = event.handle;
-    move.copied = true;
+    request->move.handle = event.handle;
+    request->move.copied = true;
   }
-  if (move.phase == MovePhase::kCopying) {
-    if (event.status != kOk) {
-      end_move(context, event.request, *request, event.status);
-      plan_moves(context);
+  switch (request->move.phase) {
+    case MovePhase::kCopying:
+      on_copied(context, event.request, *request, event.status);
+      break;
+    case MovePhase::kStopping:
+      on_stopped(context, event.request, *request, event);
+      break;
+    case MovePhase::kNone:
+    case MovePhase::kSwitching:
+    case MovePhase::kResuming:
       return;
-    }
-    move.phase = MovePhase::kStopping;
-    ask_copy(context, event.request, *request, true);
-    return;
   }
-  if (move.phase != MovePhase::kStopping) return;
-  if (event.status != kOk && event.handle.empty()) {
-    const bool over = move.source_ended;
-    end_move(context, event.request, *request, event.status);
-    if (over) {
-      context.effects.push_back(BreakOff{event.request, "move_failed"});
-      forget(context, event.request);
-    }
-    plan_moves(context);
-    return;
-  }
-  // The source keeps the memory when the target has no room for the rest.
-  if (event.status != kOk) move.target = request->endpoint;
-  move.phase = MovePhase::kResuming;
-  move.events_made = event.events_made;
-  resume_if_ready(context, event.request, *request);
   plan_moves(context);
 }
 
 bool on_source_ended(const RoutingContext& context, std::uint64_t key,
                      RequestState& request, const AttemptEnded& event) {
+  if (event.attempt != request.attempt) return false;
+  if (request.held_attempt != 0) {
+    undo_switch(context, key, request, event.end);
+    plan_moves(context);
+    return true;
+  }
   const bool stopping = request.move.phase == MovePhase::kStopping ||
                         request.move.phase == MovePhase::kResuming;
-  if (!stopping || event.attempt != request.attempt) return false;
-  if (event.end == AttemptEnd::kStreamEnded) return false;
+  if (!stopping || event.end == AttemptEnd::kStreamEnded) return false;
   request.move.source_ended = true;
   resume_if_ready(context, key, request);
   return true;
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "libperidotreach/quarantine.h"
@@ -47,6 +48,8 @@
 // How far the move of a generation has come.
 enum class MovePhase {
   kNone,
+  // An attempt at the backup is on its way; the present one is held.
+  kSwitching,
   // Memory is copied while the generation runs on.
   kCopying,
   // The generation stops and the rest is copied.
@@ -59,7 +62,11 @@
 struct GenerationMove {
   MovePhase phase = MovePhase::kNone;
   std::string target;
+  // Tokens booked at the target while the move goes on.
+  std::uint64_t booked = 0;
   std::uint32_t tries = 0;
+  // Targets without room, not asked again for this generation.
+  std::set<std::string> full;
   std::string handle;
   std::int64_t events_made = 0;
   bool copied = false;
@@ -86,6 +93,11 @@
   std::uint32_t connect_failures = 0;
   std::string endpoint;
   std::uint64_t projected_tokens = 0;
+  // Endpoint that keeps a copy of the memory, empty for none.
+  std::string backup;
+  // The attempt that is held while another one may take over; 0 for none.
+  std::uint32_t held_attempt = 0;
+  std::string held_endpoint;
   bool relaying = false;
   Millis opened = 0;
   std::int64_t last_event = 0;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -29,10 +29,19 @@
 EndpointState* find_endpoint(const RoutingContext& context,
                              const std::string& id);
 
-// Books the request on its endpoint, or off it.
+// Books the request on an endpoint as running there, or off it.
 void book(const RoutingContext& context, RequestState& request,
           const std::string& endpoint);
 
+// Books tokens of copies at an endpoint, or off it.
+void book_copy(const RoutingContext& context, const std::string& endpoint,
+               std::uint64_t tokens);
+void unbook_copy(const RoutingContext& context, const std::string& endpoint,
+                 std::uint64_t tokens);
+
+// Gives up the copy of the request's memory at its backup.
+void drop_backup(const RoutingContext& context, RequestState& request);
+
 // Ends the request with a status of our own.
 void refuse(const RoutingContext& context, std::uint64_t key, unsigned status,
             Millis retry_after, const std::string& reason);
@@ -60,6 +69,18 @@
 // Moves (generation_moves.cc).
 void plan_moves(const RoutingContext& context);
 void on_copy_answered(const RoutingContext& context, const CopyAnswered& event);
+// Ends a move, whatever it has come to.
+void clear_move(const RoutingContext& context, RequestState& request);
+
+// Goes on at the backup after the generation's endpoint was lost. Returns
+// whether there is one.
+bool resume_at_backup(const RoutingContext& context, std::uint64_t key,
+                      RequestState& request);
+
+// The attempt that was to take over has opened its stream.
+void on_taken_over(const RoutingContext& context, std::uint64_t key,
+                   RequestState& request);
+
 // Takes the end of an attempt whose generation is being moved. Returns whether
 // the end belongs to the move.
 bool on_source_ended(const RoutingContext& context, std::uint64_t key,
--- a/src/peridot-router/exchange.cc
+++ b/src/peridot-router/exchange.cc
@@ -2,18 +2,9 @@
 
 #include <utility>
 
-namespace peridotreach {
-namespace {
-
-// Waits until the timer is cancelled.
-awaitable<void> wait_cancelled(asio::steady_timer& timer) {
-  timer.expires_at(asio::steady_timer::time_point::max());
-  error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
-}  // namespace
+#include "runtime/clock.h"
 
+namespace peridotreach {
 void Exchange::notify() { changed_.cancel(); }
 
 void Exchange::answer(CallerAnswer answer) {
--- a/src/runtime/clock.cc
+++ b/src/runtime/clock.cc
@@ -27,6 +27,12 @@
   return number;
 }
 
+awaitable<void> wait_cancelled(asio::steady_timer& timer) {
+  timer.expires_at(asio::steady_timer::time_point::max());
+  error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 awaitable<void> sleep_for(Millis duration) {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   timer.expires_after(std::chrono::milliseconds(duration));
--- a/src/runtime/clock.h
+++ b/src/runtime/clock.h
@@ -21,6 +21,9 @@
 // A random 64-bit number.
 std::uint64_t random_number();
 
+// Completes when the timer is cancelled.
+awaitable<void> wait_cancelled(asio::steady_timer& timer);
+
 // Completes after `duration`.
 awaitable<void> sleep_for(Millis duration);
 
