--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -16,9 +16,6 @@
 // Burden of a failing endpoint, in shares of its capacity.
 constexpr double kFailureBurden = 4.0;
 
-// Burden of crossing to another availability zone: ties go to the own one.
-constexpr double kOtherZoneBurden = 0.03;
-
 // Burden of an endpoint that still warms up.
 constexpr double kWarmUpBurden = 0.3;
 
@@ -65,7 +62,8 @@
           memory_burden(memory_share(endpoint, *service->engine, need.tokens));
   }
   sum += kFailureBurden * failure_share_at(endpoint, state.now);
-  if (endpoint.entry.zone != state.self.zone) sum += kOtherZoneBurden;
+  const std::string& zone = need.zone.empty() ? state.self.zone : need.zone;
+  if (endpoint.entry.zone != zone) sum += need.other_zone_burden;
   if (endpoint.warm_until > state.now) sum += kWarmUpBurden;
   return sum;
 }
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -13,6 +13,9 @@
 // No bound on the memory projected in use: the endpoint queues what is over.
 inline constexpr double kAnyMemory = 1e9;
 
+// Burden of crossing to another availability zone: ties go to the own one.
+inline constexpr double kOtherZoneBurden = 0.03;
+
 // What a request needs of an endpoint.
 struct EndpointNeed {
   std::string service;
@@ -20,6 +23,9 @@
   std::uint64_t tokens = 0;
   // Endpoints that must not be chosen.
   std::set<std::string> except;
+  // The preferred availability zone, and what another one costs.
+  std::string zone;
+  double other_zone_burden = kOtherZoneBurden;
   // The largest share of an engine's memory that may be projected in use.
   double most_memory = kAnyMemory;
 };
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -17,9 +17,13 @@
 // Pause before a failed move is tried again.
 constexpr Millis kMoveRetryPause = 60;
 
-// Copies of one source that run at the same time. Copies share the source's
-// link, so more of them only delay the first.
-constexpr std::uint32_t kCopiesAtOnce = 1;
+// Interval at which a turn is asked for again, and the silence after which a
+// request copies without one.
+constexpr Millis kAskInterval = 80;
+constexpr Millis kTurnSilence = 200;
+
+// Burden of a target in another zone, where a copy takes twice as long.
+constexpr double kCopyZoneBurden = 0.25;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kNoRoom = 503;
@@ -31,17 +35,6 @@
          found->second.engine->can_move;
 }
 
-std::uint32_t copies_from(const RoutingState& state,
-                          const std::string& endpoint) {
-  std::uint32_t copies = 0;
-  for (const auto& [key, request] : state.requests) {
-    const bool copying = request.move.phase == MovePhase::kCopying ||
-                         request.move.phase == MovePhase::kStopping;
-    if (copying && request.endpoint == endpoint) copies += 1;
-  }
-  return copies;
-}
-
 void count_repeat(const RoutingContext& context, const RequestState& request) {
   take_repeat(context.state.budgets[request.service],
               context.state.self.retries, 1, context.state.now);
@@ -118,7 +111,24 @@
   request.attempt = request.held_attempt;
   request.held_attempt = 0;
   request.held_endpoint.clear();
-  clear_move(context, request);
+  clear_move(context, key, request);
+}
+
+void ask_turn(const RoutingContext& context, std::uint64_t key,
+              RequestState& request) {
+  GenerationMove& move = request.move;
+  if (move.phase == MovePhase::kNone) move.heard = context.state.now;
+  move.phase = MovePhase::kWaiting;
+  move.asked = context.state.now;
+  context.effects.push_back(AskTurn{key, request.endpoint});
+}
+
+// Lets another generation copy first and tries again after a pause.
+void give_up_turn(const RoutingContext& context, std::uint64_t key,
+                  RequestState& request) {
+  clear_move(context, key, request);
+  request.move.full.clear();
+  request.move.not_before = context.state.now + kMoveRetryPause;
 }
 
 // Copies to the endpoint with the most room among those that have not said
@@ -130,8 +140,13 @@
   need.tokens = request.projected_tokens;
   need.except = request.move.full;
   need.except.insert(request.endpoint);
+  need.zone = context.state.endpoints.at(request.endpoint).entry.zone;
+  need.other_zone_burden = kCopyZoneBurden;
   const std::string target = choose_endpoint(context.state, need);
-  if (target.empty()) return;
+  if (target.empty()) {
+    give_up_turn(context, key, request);
+    return;
+  }
   GenerationMove& move = request.move;
   move.phase = MovePhase::kCopying;
   move.target = target;
@@ -151,9 +166,15 @@
          {{"from", request.endpoint},
           {"to", request.move.target},
           {"status", std::to_string(status)}});
-  if (status == kNoRoom) request.move.full.insert(request.move.target);
-  clear_move(context, request);
-  request.move.not_before = context.state.now + kMoveRetryPause;
+  GenerationMove& move = request.move;
+  unbook_copy(context, move.target, move.booked);
+  move.booked = 0;
+  if (status == kNoRoom && move.tries < kMostMoveTries) {
+    move.full.insert(move.target);
+    start_copy(context, key, request);
+    return;
+  }
+  give_up_turn(context, key, request);
 }
 
 // Goes on at the target once the source's stream has ended and all is copied.
@@ -176,7 +197,7 @@
           {"to", move.target},
           {"last_event", std::to_string(request.last_event)},
           {"events_made", std::to_string(move.events_made)}});
-  clear_move(context, request);
+  clear_move(context, key, request);
   request.move.tries = 0;
   count_repeat(context, request);
   start_attempt(context, key, request, move.target, std::move(memory));
@@ -211,8 +232,12 @@
 
 }  // namespace
 
-void clear_move(const RoutingContext& context, RequestState& request) {
+void clear_move(const RoutingContext& context, std::uint64_t key,
+                RequestState& request) {
   GenerationMove& move = request.move;
+  if (move.asked != 0) {
+    context.effects.push_back(EndTurn{key, request.endpoint});
+  }
   unbook_copy(context, move.target, move.booked);
   GenerationMove cleared;
   cleared.tries = move.tries;
@@ -229,7 +254,7 @@
          {{"from", request.endpoint},
           {"to", backup},
           {"last_event", std::to_string(request.last_event)}});
-  clear_move(context, request);
+  clear_move(context, key, request);
   count_repeat(context, request);
   start_attempt(context, key, request, backup, std::move(source));
   return true;
@@ -241,7 +266,7 @@
   context.effects.push_back(DropAttempt{key, request.held_attempt});
   request.held_attempt = 0;
   request.held_endpoint.clear();
-  clear_move(context, request);
+  clear_move(context, key, request);
   request.move.tries = 0;
   record(context, "switched", key, {{"to", request.endpoint}});
 }
@@ -249,14 +274,37 @@
 void plan_moves(const RoutingContext& context) {
   RoutingState& state = context.state;
   for (auto& [key, request] : state.requests) {
+    if (request.move.phase == MovePhase::kWaiting) {
+      if (state.now - request.move.heard > kTurnSilence) {
+        start_copy(context, key, request);
+      } else if (state.now - request.move.asked >= kAskInterval) {
+        ask_turn(context, key, request);
+      }
+      continue;
+    }
     if (!wants_to_move(state, request)) continue;
     if (has_live_backup(context, request)) {
       start_switch(context, key, request);
       continue;
     }
-    if (copies_from(state, request.endpoint) >= kCopiesAtOnce) continue;
-    start_copy(context, key, request);
+    ask_turn(context, key, request);
+  }
+}
+
+void on_turn_granted(const RoutingContext& context, const TurnGranted& event) {
+  RequestState* request = find_request(context, event.request);
+  const bool waits = request != nullptr &&
+                     request->move.phase == MovePhase::kWaiting &&
+                     request->endpoint == event.endpoint;
+  if (waits) {
+    request->move.has_turn = true;
+    start_copy(context, event.request, *request);
+    return;
   }
+  const bool holds = request != nullptr && request->move.has_turn &&
+                     request->endpoint == event.endpoint;
+  if (holds) return;
+  context.effects.push_back(EndTurn{event.request, event.endpoint});
 }
 
 void on_copy_answered(const RoutingContext& context,
@@ -276,6 +324,7 @@
       break;
     case MovePhase::kNone:
     case MovePhase::kSwitching:
+    case MovePhase::kWaiting:
     case MovePhase::kResuming:
       return;
   }
--- a/src/libperidotreach/routing/peer_view.cc
+++ b/src/libperidotreach/routing/peer_view.cc
@@ -1,5 +1,7 @@
 #include "libperidotreach/routing/peer_view.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace peridotreach {
@@ -45,6 +47,24 @@
   return peer.heard != 0 && now - peer.heard <= kPeerSilence;
 }
 
+std::string turn_keeper(const PeerView& view, const std::string& self,
+                        const std::string& endpoint, Millis now) {
+  const auto weight = [&](const std::string& vm) {
+    const std::string both = vm + "/" + endpoint;
+    return XXH3_64bits(both.data(), both.size());
+  };
+  std::string keeper = self;
+  std::uint64_t most = weight(self);
+  for (const auto& [vm, peer] : view.peers) {
+    if (!is_alive(peer, now) || peer.stopping) continue;
+    const std::uint64_t theirs = weight(vm);
+    if (theirs <= most) continue;
+    most = theirs;
+    keeper = vm;
+  }
+  return keeper;
+}
+
 std::vector<std::string> forget_peers(PeerView& view, Millis now) {
   std::vector<std::string> forgotten;
   for (const auto& [vm, peer] : view.peers) {
--- a/src/libperidotreach/routing/peer_view.h
+++ b/src/libperidotreach/routing/peer_view.h
@@ -61,6 +61,11 @@
 // Returns whether a peer counts as alive.
 bool is_alive(const PeerState& peer, Millis now);
 
+// Returns the VM that keeps the turns at `endpoint`: every process finds the
+// same one by rendezvous hashing as long as their views agree.
+std::string turn_keeper(const PeerView& view, const std::string& self,
+                        const std::string& endpoint, Millis now);
+
 // Forgets peers that are neither listed nor heard. Returns their names.
 std::vector<std::string> forget_peers(PeerView& view, Millis now);
 
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -235,7 +235,7 @@
   if (request->held_attempt != 0) {
     context.effects.push_back(DropAttempt{key, request->held_attempt});
   }
-  clear_move(context, *request);
+  clear_move(context, key, *request);
   drop_backup(context, *request);
   book(context, *request, "");
   context.state.requests.erase(key);
@@ -245,7 +245,7 @@
 
 // The largest share of an engine's memory that copies may take it to. Above
 // it the memory is worth more to requests that wait.
-constexpr double kMostMemoryWithBackup = 0.7;
+constexpr double kMostMemoryWithBackup = 0.5;
 
 // Chooses where a copy of the generation's memory is kept, if there is room.
 void choose_backup(const RoutingContext& context, RequestState& request,
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -99,6 +99,16 @@
   bool stop = false;
 };
 
+// Asks for a turn at copying off an endpoint, or gives it back.
+struct AskTurn {
+  std::uint64_t request = 0;
+  std::string endpoint;
+};
+struct EndTurn {
+  std::uint64_t request = 0;
+  std::string endpoint;
+};
+
 // Frees a copy that is not used, at both ends.
 struct FreeCopy {
   std::string address;
@@ -122,6 +132,6 @@
 using RoutingEffect =
     std::variant<StartAttempt, HoldAttempt, DropAttempt, DeliverAnswer,
                  RelayStream, FinishStream, AnswerCaller, BreakOff,
-                 CopyGeneration, FreeCopy, RecordDecision>;
+                 CopyGeneration, AskTurn, EndTurn, FreeCopy, RecordDecision>;
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -125,6 +125,17 @@
   std::int64_t events_made = 0;
 };
 
+// A request may now copy its memory off the endpoint that it runs at.
+struct TurnGranted {
+  std::uint64_t request = 0;
+  std::string endpoint;
+};
+
+// A request waits for its turn at copying.
+struct TurnQueued {
+  std::uint64_t request = 0;
+};
+
 // Use of one endpoint by one process.
 struct EndpointUse {
   std::string endpoint;
@@ -157,7 +168,8 @@
   std::uint64_t random = 0;
   std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, RequestArrived,
                CallerLeft, AttemptEnded, StreamOpened, StreamEventArrived,
-               CopyAnswered, PeerUseArrived, PeerLost, RoutingTicked>
+               CopyAnswered, TurnGranted, TurnQueued, PeerUseArrived, PeerLost,
+               RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -85,6 +85,15 @@
   on_copy_answered(context, event);
 }
 
+void apply(const RoutingContext& context, const TurnGranted& event) {
+  on_turn_granted(context, event);
+}
+
+void apply(const RoutingContext& context, const TurnQueued& event) {
+  RequestState* request = find_request(context, event.request);
+  if (request != nullptr) request->move.heard = context.state.now;
+}
+
 // Recomputes what peers use of the endpoints named in `uses`.
 void sum_peers(RoutingState& state,
                const std::map<std::string, EndpointUse>& uses) {
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -50,6 +50,8 @@
   kNone,
   // An attempt at the backup is on its way; the present one is held.
   kSwitching,
+  // Another generation is copied off the same endpoint first.
+  kWaiting,
   // Memory is copied while the generation runs on.
   kCopying,
   // The generation stops and the rest is copied.
@@ -73,6 +75,10 @@
   bool source_ended = false;
   // Not moved before this time.
   Millis not_before = 0;
+  // When a turn was asked for, and when the keeper of turns last answered.
+  Millis asked = 0;
+  Millis heard = 0;
+  bool has_turn = false;
 
   bool operator==(const GenerationMove&) const = default;
 };
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -68,9 +68,11 @@
 
 // Moves (generation_moves.cc).
 void plan_moves(const RoutingContext& context);
+void on_turn_granted(const RoutingContext& context, const TurnGranted& event);
 void on_copy_answered(const RoutingContext& context, const CopyAnswered& event);
 // Ends a move, whatever it has come to.
-void clear_move(const RoutingContext& context, RequestState& request);
+void clear_move(const RoutingContext& context, std::uint64_t key,
+                RequestState& request);
 
 // Goes on at the backup after the generation's endpoint was lost. Returns
 // whether there is one.
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -105,6 +105,9 @@
     log(LogLevel::kInfo, "peer_forgotten", {{"peer", vm}});
     handlers_.on_lost(vm);
   }
+  for (const GrantedTurn& granted : expire_turns(turns_, now)) {
+    tell_granted(granted);
+  }
   const auto peers = static_cast<Millis>(view_.peers.size());
   const Millis interval = std::max(kLeastInterval, kIntervalPerPeer * peers);
   const Millis since = now - told_at_;
@@ -117,6 +120,90 @@
   broadcast(own, now);
 }
 
+void PeerExchange::send_turn(const std::string& vm,
+                             const proto::TurnMessage& turn) {
+  const auto peer = view_.peers.find(vm);
+  if (peer == view_.peers.end()) return;
+  proto::Envelope message = envelope();
+  *message.mutable_turn() = turn;
+  send(peer->second.record.link, message);
+}
+
+void PeerExchange::ask_turn(const AskTurn& ask, Millis now) {
+  proto::TurnMessage turn;
+  turn.set_kind(proto::TurnMessage::ASK);
+  turn.set_endpoint(ask.endpoint);
+  turn.set_request(ask.request);
+  const std::string keeper = turn_keeper(view_, self_.vm, ask.endpoint, now);
+  if (keeper != self_.vm) {
+    send_turn(keeper, turn);
+    return;
+  }
+  answer_turn(self_.vm, turn, now);
+}
+
+void PeerExchange::end_turn(const EndTurn& end, Millis now) {
+  proto::TurnMessage turn;
+  turn.set_kind(proto::TurnMessage::END);
+  turn.set_endpoint(end.endpoint);
+  turn.set_request(end.request);
+  const std::string keeper = turn_keeper(view_, self_.vm, end.endpoint, now);
+  if (keeper != self_.vm) {
+    send_turn(keeper, turn);
+    return;
+  }
+  answer_turn(self_.vm, turn, now);
+}
+
+void PeerExchange::tell_granted(const GrantedTurn& granted) {
+  if (granted.turn.peer == self_.vm) {
+    handlers_.on_turn(TurnGranted{granted.turn.request, granted.endpoint});
+    return;
+  }
+  proto::TurnMessage turn;
+  turn.set_kind(proto::TurnMessage::GRANTED);
+  turn.set_endpoint(granted.endpoint);
+  turn.set_request(granted.turn.request);
+  send_turn(granted.turn.peer, turn);
+}
+
+// A message on turns: a wish that this process keeps, or an answer to one of
+// its own.
+void PeerExchange::answer_turn(const std::string& vm,
+                               const proto::TurnMessage& turn, Millis now) {
+  const CopyTurn wish{vm, turn.request()};
+  switch (turn.kind()) {
+    case proto::TurnMessage::ASK: {
+      if (peridotreach::ask_turn(turns_, turn.endpoint(), wish, now)) {
+        tell_granted({turn.endpoint(), wish});
+        return;
+      }
+      if (vm == self_.vm) {
+        handlers_.on_queued(TurnQueued{turn.request()});
+        return;
+      }
+      proto::TurnMessage queued = turn;
+      queued.set_kind(proto::TurnMessage::QUEUED);
+      send_turn(vm, queued);
+      return;
+    }
+    case proto::TurnMessage::END: {
+      const auto next =
+          peridotreach::end_turn(turns_, turn.endpoint(), wish, now);
+      if (next) tell_granted(*next);
+      return;
+    }
+    case proto::TurnMessage::GRANTED:
+      handlers_.on_turn(TurnGranted{turn.request(), turn.endpoint()});
+      return;
+    case proto::TurnMessage::QUEUED:
+      handlers_.on_queued(TurnQueued{turn.request()});
+      return;
+    default:
+      return;
+  }
+}
+
 void PeerExchange::broadcast(const OwnDigest& own, Millis now) {
   const proto::Envelope message = digest_of(own);
   bool any_heard = false;
@@ -205,6 +292,10 @@
     link_.reply(from, answer);
     return;
   }
+  if (message.has_turn()) {
+    answer_turn(message.vm(), message.turn(), now);
+    return;
+  }
   if (!message.has_table()) return;
   SharedTableState table;
   table.revision = message.table().revision();
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -8,7 +8,9 @@
 #include <map>
 #include <string>
 
+#include "libperidotreach/routing/copy_turns.h"
 #include "libperidotreach/routing/peer_view.h"
+#include "libperidotreach/routing/routing_effect.h"
 #include "libperidotreach/routing/routing_event.h"
 #include "peridot-router/shared_table.h"
 #include "runtime/control_link.h"
@@ -18,7 +20,8 @@
 
 namespace proto {
 class RoutingDigest;
-}
+class TurnMessage;
+}  // namespace proto
 
 // Names of the shared tables.
 inline constexpr const char* kManifestTable = "manifest";
@@ -38,6 +41,8 @@
 struct PeerHandlers {
   std::function<void(const PeerUseArrived&)> on_use;
   std::function<void(const std::string& vm)> on_lost;
+  std::function<void(const TurnGranted&)> on_turn;
+  std::function<void(const TurnQueued&)> on_queued;
   std::function<void(const std::string& table, SharedTableState)> on_table;
   std::function<const SharedTableState&(const std::string& table)> table;
 };
@@ -65,6 +70,10 @@
   // Tells peers if something changed or a heartbeat is due.
   void tick(const OwnDigest& own, Millis now);
 
+  // Asks the keeper of the endpoint's turns for one, or gives it back.
+  void ask_turn(const AskTurn& ask, Millis now);
+  void end_turn(const EndTurn& end, Millis now);
+
   PeerView& view() { return view_; }
   const PeerRecord& self() const { return self_; }
   const LinkCounts& counts() const { return link_.counts(); }
@@ -75,6 +84,10 @@
   void catch_up(const std::string& table, std::uint64_t theirs,
                 const std::string& link, Millis now);
   void send(const std::string& link, const proto::Envelope& message);
+  void answer_turn(const std::string& vm, const proto::TurnMessage& turn,
+                   Millis now);
+  void tell_granted(const GrantedTurn& granted);
+  void send_turn(const std::string& vm, const proto::TurnMessage& turn);
   void broadcast(const OwnDigest& own, Millis now);
   proto::Envelope digest_of(const OwnDigest& own) const;
   proto::Envelope envelope() const;
@@ -89,6 +102,7 @@
   std::uint64_t told_manifest_ = 0;
   std::uint64_t told_endpoints_ = 0;
   std::map<std::string, TableLag> lags_;
+  TurnBook turns_;
 };
 
 }  // namespace peridotreach
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -58,6 +58,8 @@
              PeerHandlers{
                  [this](const PeerUseArrived& use) { post(use); },
                  [this](const std::string& vm) { post(PeerLost{vm}); },
+                 [this](const TurnGranted& turn) { post(turn); },
+                 [this](const TurnQueued& turn) { post(turn); },
                  [this](const std::string& table, SharedTableState state) {
                    replace(table, std::move(state));
                  },
@@ -394,6 +396,14 @@
   post(std::move(event));
 }
 
+void RouterNode::perform(const AskTurn& effect) {
+  peers_.ask_turn(effect, monotonic_now());
+}
+
+void RouterNode::perform(const EndTurn& effect) {
+  peers_.end_turn(effect, monotonic_now());
+}
+
 void RouterNode::perform(const FreeCopy& effect) {
   co_spawn(io_, free_copy(effect), asio::detached);
 }
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -77,6 +77,8 @@
   void perform(const AnswerCaller& effect);
   void perform(const BreakOff& effect);
   void perform(const CopyGeneration& effect);
+  void perform(const AskTurn& effect);
+  void perform(const EndTurn& effect);
   void perform(const FreeCopy& effect);
   void perform(const RecordDecision& effect);
 
