--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -1,7 +1,6 @@
-// Generations that go on elsewhere. An endpoint that keeps a copy of the
-// memory takes over at once. Without one the memory is copied while the
-// generation runs on, then it stops, the rest is copied, and it goes on at the
-// target from the last event that the caller has.
+// Generations that go on elsewhere: the memory is copied while the generation
+// runs on, then it stops, the rest is copied, and it goes on at the target from
+// the last event that the caller has.
 
 #include <algorithm>
 
@@ -45,19 +44,6 @@
   return found != state.endpoints.end() && found->second.leaving_since != 0;
 }
 
-bool has_live_backup(const RoutingContext& context,
-                     const RequestState& request) {
-  const EndpointState* backup = find_endpoint(context, request.backup);
-  return backup != nullptr && takes_new_work(*backup, context.state.now);
-}
-
-// Returns the source that names the copy at the request's backup.
-MemorySource backup_source(const RoutingContext& context,
-                           const RequestState& request) {
-  const EndpointEntry& entry = context.state.endpoints.at(request.backup).entry;
-  return {entry.address, entry.port, request.facts.id, request.last_event};
-}
-
 void ask_copy(const RoutingContext& context, std::uint64_t key,
               const RequestState& request, bool stop) {
   const EndpointEntry& source =
@@ -82,38 +68,6 @@
          can_move(state, request.service);
 }
 
-// Holds the present attempt and asks the backup to take over.
-void start_switch(const RoutingContext& context, std::uint64_t key,
-                  RequestState& request) {
-  const std::string backup = request.backup;
-  MemorySource source = backup_source(context, request);
-  record(context, "switch_started", key,
-         {{"from", request.endpoint},
-          {"to", backup},
-          {"events", std::to_string(request.events)}});
-  request.held_attempt = request.attempt;
-  request.held_endpoint = request.endpoint;
-  request.move.phase = MovePhase::kSwitching;
-  context.effects.push_back(HoldAttempt{key, request.held_attempt, true});
-  count_repeat(context, request);
-  start_attempt(context, key, request, backup, std::move(source));
-}
-
-// The backup did not take over: the present attempt goes on.
-void undo_switch(const RoutingContext& context, std::uint64_t key,
-                 RequestState& request, AttemptEnd end) {
-  record(context, "switch_failed", key,
-         {{"to", request.endpoint},
-          {"end", std::to_string(static_cast<int>(end))}});
-  drop_backup(context, request);
-  book(context, request, request.held_endpoint);
-  context.effects.push_back(HoldAttempt{key, request.held_attempt, false});
-  request.attempt = request.held_attempt;
-  request.held_attempt = 0;
-  request.held_endpoint.clear();
-  clear_move(context, key, request);
-}
-
 void ask_turn(const RoutingContext& context, std::uint64_t key,
               RequestState& request) {
   GenerationMove& move = request.move;
@@ -245,32 +199,6 @@
   move = std::move(cleared);
 }
 
-bool resume_at_backup(const RoutingContext& context, std::uint64_t key,
-                      RequestState& request) {
-  if (!has_live_backup(context, request)) return false;
-  const std::string backup = request.backup;
-  MemorySource source = backup_source(context, request);
-  record(context, "resumed_at_backup", key,
-         {{"from", request.endpoint},
-          {"to", backup},
-          {"last_event", std::to_string(request.last_event)}});
-  clear_move(context, key, request);
-  count_repeat(context, request);
-  start_attempt(context, key, request, backup, std::move(source));
-  return true;
-}
-
-void on_taken_over(const RoutingContext& context, std::uint64_t key,
-                   RequestState& request) {
-  if (request.held_attempt == 0) return;
-  context.effects.push_back(DropAttempt{key, request.held_attempt});
-  request.held_attempt = 0;
-  request.held_endpoint.clear();
-  clear_move(context, key, request);
-  request.move.tries = 0;
-  record(context, "switched", key, {{"to", request.endpoint}});
-}
-
 void plan_moves(const RoutingContext& context) {
   RoutingState& state = context.state;
   for (auto& [key, request] : state.requests) {
@@ -283,10 +211,6 @@
       continue;
     }
     if (!wants_to_move(state, request)) continue;
-    if (has_live_backup(context, request)) {
-      start_switch(context, key, request);
-      continue;
-    }
     ask_turn(context, key, request);
   }
 }
@@ -323,7 +247,6 @@
       on_stopped(context, event.request, *request, event);
       break;
     case MovePhase::kNone:
-    case MovePhase::kSwitching:
     case MovePhase::kWaiting:
     case MovePhase::kResuming:
       return;
@@ -334,11 +257,6 @@
 bool on_source_ended(const RoutingContext& context, std::uint64_t key,
                      RequestState& request, const AttemptEnded& event) {
   if (event.attempt != request.attempt) return false;
-  if (request.held_attempt != 0) {
-    undo_switch(context, key, request, event.end);
-    plan_moves(context);
-    return true;
-  }
   const bool stopping = request.move.phase == MovePhase::kStopping ||
                         request.move.phase == MovePhase::kResuming;
   if (!stopping || event.end == AttemptEnd::kStreamEnded) return false;
--- a/src/libperidotreach/routing/manifest.h
+++ b/src/libperidotreach/routing/manifest.h
@@ -57,7 +57,6 @@
   std::uint64_t bytes_per_token = 0;
   double link_mbps = 0;
   bool can_move = false;
-  bool can_back_up = false;
   // Tokens that one event of a stream holds.
   std::uint32_t tokens_per_event = 1;
   // How long an engine keeps the memory of a stopped generation.
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -106,7 +106,6 @@
   note_death(context.state.suspects, request.facts.fingerprint,
              context.state.now);
   if (request.relaying) {
-    if (resume_at_backup(context, key, request)) return;
     record(
         context, "outcome", key,
         {{"status", "broken_off"}, {"cause", "endpoint's stream broke off"}});
@@ -187,12 +186,6 @@
     state->own.tokens -= std::min(state->own.tokens, tokens);
 }
 
-void drop_backup(const RoutingContext& context, RequestState& request) {
-  if (request.backup.empty()) return;
-  unbook_copy(context, request.backup, request.projected_tokens);
-  request.backup.clear();
-}
-
 void book(const RoutingContext& context, RequestState& request,
           const std::string& endpoint) {
   if (EndpointState* before = find_endpoint(context, request.endpoint)) {
@@ -232,45 +225,11 @@
           source->entry.address, source->entry.port, request->move.handle});
     }
   }
-  if (request->held_attempt != 0) {
-    context.effects.push_back(DropAttempt{key, request->held_attempt});
-  }
   clear_move(context, key, *request);
-  drop_backup(context, *request);
   book(context, *request, "");
   context.state.requests.erase(key);
 }
 
-namespace {
-
-// The largest share of an engine's memory that copies may take it to. Above
-// it the memory is worth more to requests that wait.
-constexpr double kMostMemoryWithBackup = 0.5;
-
-// Chooses where a copy of the generation's memory is kept, if there is room.
-void choose_backup(const RoutingContext& context, RequestState& request,
-                   StartAttempt& attempt) {
-  drop_backup(context, request);
-  if (!attempt.is_stream || !context.state.manifest) return;
-  const auto service = context.state.manifest->services.find(request.service);
-  if (service == context.state.manifest->services.end()) return;
-  const auto& engine = service->second.engine;
-  if (!engine || !engine->can_back_up) return;
-  EndpointNeed need;
-  need.service = request.service;
-  need.tokens = request.projected_tokens;
-  need.except.insert(request.endpoint);
-  need.most_memory = kMostMemoryWithBackup;
-  request.backup = choose_endpoint(context.state, need);
-  if (request.backup.empty()) return;
-  book_copy(context, request.backup, request.projected_tokens);
-  const EndpointEntry& entry = context.state.endpoints.at(request.backup).entry;
-  attempt.backup_address = entry.address;
-  attempt.backup_port = entry.port;
-}
-
-}  // namespace
-
 bool may_repeat(const RoutingContext& context, const std::string& service) {
   RoutingState& state = context.state;
   return take_repeat(state.budgets[service], state.self.retries,
@@ -296,7 +255,6 @@
   attempt.urgency = std::min(request.rank, kLeastUrgent);
   attempt.is_stream = request.route.kind == CallKind::kStream;
   attempt.source = std::move(source);
-  choose_backup(context, request, attempt);
   record(context, "placed", key,
          {{"id", request.facts.id},
           {"route", request.route.name},
@@ -308,7 +266,6 @@
            std::to_string(target.own.tokens + target.peers.tokens)},
           {"endpoint_running",
            std::to_string(target.own.running + target.peers.running)},
-          {"backup", request.backup},
           {"time_left_ms", std::to_string(attempt.time_left)}});
   context.effects.push_back(std::move(attempt));
 }
@@ -419,7 +376,6 @@
   if (request == nullptr || event.attempt != request->attempt) return;
   if (!request->relaying) request->opened = context.state.now;
   request->relaying = true;
-  on_taken_over(context, event.request, *request);
   context.effects.push_back(RelayStream{event.request, event.attempt});
 }
 
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -37,17 +37,6 @@
   bool is_stream = false;
   // Set if `source.handle` is not empty.
   MemorySource source;
-  // Endpoint that keeps a copy of the generation's memory; empty for none.
-  std::string backup_address;
-  std::uint16_t backup_port = 0;
-};
-
-// Stops relaying from an attempt while another one may take over, or goes on
-// relaying. What arrives meanwhile is kept.
-struct HoldAttempt {
-  std::uint64_t request = 0;
-  std::uint32_t attempt = 0;
-  bool hold = true;
 };
 
 // Closes the connection of an attempt, which makes the endpoint stop.
@@ -130,8 +119,8 @@
 };
 
 using RoutingEffect =
-    std::variant<StartAttempt, HoldAttempt, DropAttempt, DeliverAnswer,
-                 RelayStream, FinishStream, AnswerCaller, BreakOff,
-                 CopyGeneration, AskTurn, EndTurn, FreeCopy, RecordDecision>;
+    std::variant<StartAttempt, DropAttempt, DeliverAnswer, RelayStream,
+                 FinishStream, AnswerCaller, BreakOff, CopyGeneration, AskTurn,
+                 EndTurn, FreeCopy, RecordDecision>;
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -48,8 +48,6 @@
 // How far the move of a generation has come.
 enum class MovePhase {
   kNone,
-  // An attempt at the backup is on its way; the present one is held.
-  kSwitching,
   // Another generation is copied off the same endpoint first.
   kWaiting,
   // Memory is copied while the generation runs on.
@@ -99,11 +97,6 @@
   std::uint32_t connect_failures = 0;
   std::string endpoint;
   std::uint64_t projected_tokens = 0;
-  // Endpoint that keeps a copy of the memory, empty for none.
-  std::string backup;
-  // The attempt that is held while another one may take over; 0 for none.
-  std::uint32_t held_attempt = 0;
-  std::string held_endpoint;
   bool relaying = false;
   Millis opened = 0;
   std::int64_t last_event = 0;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -39,9 +39,6 @@
 void unbook_copy(const RoutingContext& context, const std::string& endpoint,
                  std::uint64_t tokens);
 
-// Gives up the copy of the request's memory at its backup.
-void drop_backup(const RoutingContext& context, RequestState& request);
-
 // Ends the request with a status of our own.
 void refuse(const RoutingContext& context, std::uint64_t key, unsigned status,
             Millis retry_after, const std::string& reason);
@@ -74,15 +71,6 @@
 void clear_move(const RoutingContext& context, std::uint64_t key,
                 RequestState& request);
 
-// Goes on at the backup after the generation's endpoint was lost. Returns
-// whether there is one.
-bool resume_at_backup(const RoutingContext& context, std::uint64_t key,
-                      RequestState& request);
-
-// The attempt that was to take over has opened its stream.
-void on_taken_over(const RoutingContext& context, std::uint64_t key,
-                   RequestState& request);
-
 // Takes the end of an attempt whose generation is being moved. Returns whether
 // the end belongs to the move.
 bool on_source_ended(const RoutingContext& context, std::uint64_t key,
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -57,9 +57,6 @@
                           : attempt.order.source.last_event;
   while (true) {
     const std::string part = co_await connection.read_some(kReadBound);
-    while (attempt.held && !attempt.dropped) {
-      co_await wait_cancelled(attempt.released);
-    }
     if (attempt.dropped) co_return AttemptEnd::kBroken;
     if (part.empty()) {
       const bool whole = connection.ended() && !framer.has_rest();
--- a/src/peridot-router/endpoint_attempt.h
+++ b/src/peridot-router/endpoint_attempt.h
@@ -16,15 +16,11 @@
 // An attempt under way. `dropped` is set before its connection is closed on
 // purpose.
 struct EndpointAttempt {
-  explicit EndpointAttempt(asio::io_context& io)
-      : connection(io), released(io) {}
+  explicit EndpointAttempt(asio::io_context& io) : connection(io) {}
 
   StartAttempt order;
   HttpConnection connection;
   bool dropped = false;
-  // While it is held, arrived events are kept instead of relayed.
-  bool held = false;
-  asio::steady_timer released;
   // The answer as far as it has come, for the caller.
   CallerAnswer answer;
 };
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -325,18 +325,10 @@
            ended);
 }
 
-void RouterNode::perform(const HoldAttempt& effect) {
-  const auto found = attempts_.find({effect.request, effect.attempt});
-  if (found == attempts_.end()) return;
-  found->second->held = effect.hold;
-  found->second->released.cancel();
-}
-
 void RouterNode::perform(const DropAttempt& effect) {
   const auto found = attempts_.find({effect.request, effect.attempt});
   if (found == attempts_.end()) return;
   found->second->dropped = true;
-  found->second->released.cancel();
   found->second->connection.close();
 }
 
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -69,7 +69,6 @@
  private:
   void post(decltype(RoutingEvent::body) body);
   void perform(StartAttempt& effect);
-  void perform(const HoldAttempt& effect);
   void perform(const DropAttempt& effect);
   void perform(const DeliverAnswer& effect);
   void perform(const RelayStream& effect);
