--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -95,6 +95,11 @@
     if (endpoint.entry.service != need.service) continue;
     if (need.except.contains(id)) continue;
     if (!takes_new_work(endpoint, state.now)) continue;
+    const bool has_memory = service != nullptr && service->engine;
+    if (has_memory && memory_share(endpoint, *service->engine, need.tokens) >
+                          need.most_memory) {
+      continue;
+    }
     const double cost = burden(state, endpoint, need, service) +
                         kSpread * spread(id, state.random);
     if (!best.empty() && cost >= least) continue;
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -10,6 +10,9 @@
 
 namespace peridotreach {
 
+// No bound on the memory projected in use: the endpoint queues what is over.
+inline constexpr double kAnyMemory = 1e9;
+
 // Burden of crossing to another availability zone: ties go to the own one.
 inline constexpr double kOtherZoneBurden = 0.03;
 
@@ -23,6 +26,8 @@
   // The preferred availability zone, and what another one costs.
   std::string zone;
   double other_zone_burden = kOtherZoneBurden;
+  // The largest share of an engine's memory that may be projected in use.
+  double most_memory = kAnyMemory;
 };
 
 // Returns the id of the best endpoint, empty if none takes new work.
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -140,6 +140,7 @@
 void apply(const RoutingContext& context, const RoutingTicked&) {
   RoutingState& state = context.state;
   end_overdue_requests(context);
+  place_waiting_requests(context);
   plan_moves(context);
   expire_suspects(state.suspects, state.now);
   std::erase_if(state.endpoints, [&](const auto& entry) {
@@ -180,6 +181,9 @@
   step.state.random = event.random;
   const RoutingContext context{step.state, step.effects};
   std::visit([&](const auto& body) { apply(context, body); }, event.body);
+  const bool frees_room = std::holds_alternative<AttemptEnded>(event.body) ||
+                          std::holds_alternative<CallerLeft>(event.body);
+  if (frees_room) place_waiting_requests(context);
   return step;
 }
 
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -92,6 +92,8 @@
   // When the answer is due at the latest.
   Millis deadline = 0;
   std::uint32_t attempt = 0;
+  // It waits for room until this time; 0 if it does not wait.
+  Millis waits_until = 0;
   // Attempts of which a byte may have reached an endpoint.
   std::uint32_t sent = 0;
   std::uint32_t connect_failures = 0;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -62,6 +62,7 @@
 void on_stream_event(const RoutingContext& context,
                      const StreamEventArrived& event);
 void end_overdue_requests(const RoutingContext& context);
+void place_waiting_requests(const RoutingContext& context);
 
 // Moves (generation_moves.cc).
 void plan_moves(const RoutingContext& context);
