--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -25,6 +25,10 @@
 // Weight of the batch beside the memory of an engine.
 constexpr double kBatchBurden = 0.3;
 
+// Unread prompt tokens that weigh as much as a full memory: reading them takes
+// an engine between other work about as long as an urgent objective.
+constexpr double kUnreadTokens = 10000;
+
 // Range of the random part that spreads equal choices of several processes.
 constexpr double kSpread = 0.02;
 
@@ -58,9 +62,12 @@
       slots_of(endpoint);
   double sum = batch;
   if (service != nullptr && service->engine && need.tokens > 0) {
-    sum = kBatchBurden * batch +
+    const auto unread =
+        double(endpoint.own.unread_tokens + endpoint.peers.unread_tokens);
+    sum = kBatchBurden * batch + unread / kUnreadTokens +
           memory_burden(memory_share(endpoint, *service->engine, need.tokens));
   }
+  sum += need.copy_burden * double(endpoint.own.copies + endpoint.peers.copies);
   sum += kFailureBurden * failure_share_at(endpoint, state.now);
   const std::string& zone = need.zone.empty() ? state.self.zone : need.zone;
   if (endpoint.entry.zone != zone) sum += need.other_zone_burden;
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -26,6 +26,8 @@
   // The preferred availability zone, and what another one costs.
   std::string zone;
   double other_zone_burden = kOtherZoneBurden;
+  // Burden of each copy that is on its way to the endpoint.
+  double copy_burden = 0;
   // The largest share of an engine's memory that may be projected in use.
   double most_memory = kAnyMemory;
 };
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -24,6 +24,12 @@
 // Burden of a target in another zone, where a copy takes twice as long.
 constexpr double kCopyZoneBurden = 0.25;
 
+// Burden of a target whose link another copy is using.
+constexpr double kOtherCopyBurden = 0.35;
+
+// Time that an endpoint which leaves on short notice surely still serves.
+constexpr Millis kSureNotice = 1400;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kNoRoom = 503;
 
@@ -60,12 +66,27 @@
   context.effects.push_back(std::move(copy));
 }
 
+// Returns whether a generation is expected to end before its endpoint is gone.
+// The expected length is right at the median; one that overruns it moves then.
+bool ends_in_time(const RoutingState& state, const RequestState& request) {
+  const EndpointState& endpoint = state.endpoints.at(request.endpoint);
+  const Millis left = endpoint.leaving_since + kSureNotice - state.now;
+  const std::uint32_t per_event =
+      state.manifest->services.at(request.service).engine->tokens_per_event;
+  const auto produced = std::uint64_t{request.events} * per_event;
+  const std::uint64_t expected =
+      request.projected_tokens - request.facts.prompt_tokens;
+  if (request.events < 2 || produced >= expected) return false;
+  const double pace = double(state.now - request.opened) / double(produced);
+  return pace * double(expected - produced) < double(left);
+}
+
 bool wants_to_move(const RoutingState& state, const RequestState& request) {
   return request.relaying && request.move.phase == MovePhase::kNone &&
          request.move.tries < kMostMoveTries &&
          request.move.not_before <= state.now &&
          is_leaving(state, request.endpoint) &&
-         can_move(state, request.service);
+         can_move(state, request.service) && !ends_in_time(state, request);
 }
 
 void ask_turn(const RoutingContext& context, std::uint64_t key,
@@ -96,6 +117,7 @@
   need.except.insert(request.endpoint);
   need.zone = context.state.endpoints.at(request.endpoint).entry.zone;
   need.other_zone_burden = kCopyZoneBurden;
+  need.copy_burden = kOtherCopyBurden;
   const std::string target = choose_endpoint(context.state, need);
   if (target.empty()) {
     give_up_turn(context, key, request);
@@ -121,7 +143,7 @@
           {"to", request.move.target},
           {"status", std::to_string(status)}});
   GenerationMove& move = request.move;
-  unbook_copy(context, move.target, move.booked);
+  if (move.booked > 0) unbook_copy(context, move.target, move.booked);
   move.booked = 0;
   if (status == kNoRoom && move.tries < kMostMoveTries) {
     move.full.insert(move.target);
@@ -192,7 +214,7 @@
   if (move.asked != 0) {
     context.effects.push_back(EndTurn{key, request.endpoint});
   }
-  unbook_copy(context, move.target, move.booked);
+  if (move.booked > 0) unbook_copy(context, move.target, move.booked);
   GenerationMove cleared;
   cleared.tries = move.tries;
   cleared.full = std::move(move.full);
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -213,14 +213,17 @@
 void book_copy(const RoutingContext& context, const std::string& endpoint,
                std::uint64_t tokens) {
   EndpointState* state = find_endpoint(context, endpoint);
-  if (state != nullptr) state->own.tokens += tokens;
+  if (state == nullptr) return;
+  state->own.tokens += tokens;
+  state->own.copies += 1;
 }
 
 void unbook_copy(const RoutingContext& context, const std::string& endpoint,
                  std::uint64_t tokens) {
   EndpointState* state = find_endpoint(context, endpoint);
-  if (state != nullptr)
-    state->own.tokens -= std::min(state->own.tokens, tokens);
+  if (state == nullptr) return;
+  state->own.tokens -= std::min(state->own.tokens, tokens);
+  state->own.copies -= std::min<std::uint32_t>(state->own.copies, 1);
 }
 
 void book(const RoutingContext& context, RequestState& request,
@@ -229,11 +232,17 @@
     before->own.running -= std::min<std::uint32_t>(before->own.running, 1);
     before->own.tokens -=
         std::min(before->own.tokens, request.projected_tokens);
+    before->own.unread_tokens -= std::min<std::uint64_t>(
+        before->own.unread_tokens, request.unread_tokens);
   }
   request.endpoint = endpoint;
+  const bool reads =
+      request.route.kind == CallKind::kStream && !request.relaying;
+  request.unread_tokens = reads ? request.facts.prompt_tokens : 0;
   if (EndpointState* after = find_endpoint(context, endpoint)) {
     after->own.running += 1;
     after->own.tokens += request.projected_tokens;
+    after->own.unread_tokens += request.unread_tokens;
   }
 }
 
@@ -407,6 +416,20 @@
   }
 }
 
+namespace {
+
+// The first event shows that the endpoint has read the prompt.
+void note_read(const RoutingContext& context, RequestState& request) {
+  if (request.unread_tokens == 0) return;
+  if (EndpointState* endpoint = find_endpoint(context, request.endpoint)) {
+    endpoint->own.unread_tokens -= std::min<std::uint64_t>(
+        endpoint->own.unread_tokens, request.unread_tokens);
+  }
+  request.unread_tokens = 0;
+}
+
+}  // namespace
+
 void on_stream_opened(const RoutingContext& context,
                       const StreamOpened& event) {
   RequestState* request = find_request(context, event.request);
@@ -420,6 +443,7 @@
                      const StreamEventArrived& event) {
   RequestState* request = find_request(context, event.request);
   if (request == nullptr || event.attempt != request->attempt) return;
+  note_read(context, *request);
   request->events += 1;
   request->last_event = event.event_id;
 }
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -142,6 +142,10 @@
   std::uint32_t running = 0;
   // Tokens that its requests are projected to hold at their peak.
   std::uint64_t tokens = 0;
+  // Prompt tokens of requests that have not had their first event.
+  std::uint64_t unread_tokens = 0;
+  // Copies of memory that are on their way to it.
+  std::uint32_t copies = 0;
 
   bool operator==(const EndpointUse&) const = default;
 };
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -101,13 +101,14 @@
     const auto found = state.endpoints.find(id);
     if (found == state.endpoints.end()) continue;
     EndpointUse& sum = found->second.peers;
-    sum.running = 0;
-    sum.tokens = 0;
+    sum = EndpointUse{id};
     for (const auto& [peer, theirs] : state.peers) {
       const auto use = theirs.find(id);
       if (use == theirs.end()) continue;
       sum.running += use->second.running;
       sum.tokens += use->second.tokens;
+      sum.unread_tokens += use->second.unread_tokens;
+      sum.copies += use->second.copies;
     }
   }
 }
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -99,6 +99,8 @@
   std::uint32_t connect_failures = 0;
   std::string endpoint;
   std::uint64_t projected_tokens = 0;
+  // Prompt tokens booked as unread at the endpoint.
+  std::uint32_t unread_tokens = 0;
   bool relaying = false;
   Millis opened = 0;
   std::int64_t last_event = 0;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -80,6 +80,8 @@
     cell.set_endpoint(use.endpoint);
     cell.set_running(use.running);
     cell.set_tokens(use.tokens);
+    cell.set_unread_tokens(use.unread_tokens);
+    cell.set_copies(use.copies);
   }
   for (const auto& [fingerprint, deaths] : own.suspects) {
     proto::SuspectCell& cell = *digest.add_suspects();
@@ -246,7 +248,8 @@
   PeerUseArrived use;
   use.peer = record.vm;
   for (const proto::EndpointUseCell& cell : digest.uses()) {
-    use.uses.push_back({cell.endpoint(), cell.running(), cell.tokens()});
+    use.uses.push_back({cell.endpoint(), cell.running(), cell.tokens(),
+                        cell.unread_tokens(), cell.copies()});
   }
   for (const proto::SuspectCell& cell : digest.suspects()) {
     use.suspects.emplace_back(cell.fingerprint(), cell.deaths());
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -145,7 +145,8 @@
   own.ready = ready();
   own.stopping = stopping();
   for (const auto& [id, endpoint] : state_.endpoints) {
-    if (endpoint.own.running == 0) continue;
+    const EndpointUse& use = endpoint.own;
+    if (use.running == 0 && use.copies == 0) continue;
     own.uses.push_back(endpoint.own);
   }
   for (const auto& [fingerprint, suspect] : state_.suspects.suspects) {
