Let one process of a zone follow the store's busy tables

Change: by rendezvous hashing one process of a zone watches and pushes changes to its zone; digests show lag to the others, who ask for the table. Digests to other zones are rarer.

--- a/src/libperidotreach/routing/peer_view.cc
+++ b/src/libperidotreach/routing/peer_view.cc
@@ -13,6 +13,12 @@
 // Addresses given to a caller at the most.
 constexpr std::size_t kMostAddresses = 64;
 
+// Weight of a VM in rendezvous hashing for `subject`.
+std::uint64_t weight_of(const std::string& vm, const std::string& subject) {
+  const std::string both = vm + "/" + subject;
+  return XXH3_64bits(both.data(), both.size());
+}
+
 }  // namespace
 
 void list_peer(PeerView& view, const PeerRecord& record, Millis now) {
@@ -29,16 +35,17 @@
   if (found != view.peers.end()) found->second.listed = false;
 }
 
-bool hear_peer(PeerView& view, const PeerRecord& record, bool ready,
-               bool stopping, Millis now) {
+bool hear_peer(PeerView& view, const PeerRecord& record,
+               const PeerCondition& condition, Millis now) {
   PeerState& peer = view.peers[record.vm];
   const bool is_new =
       peer.heard == 0 || peer.record.incarnation < record.incarnation;
   if (record.incarnation < peer.record.incarnation) return false;
   if (peer.first_known == 0) peer.first_known = now;
   peer.record = record;
-  peer.ready = ready;
-  peer.stopping = stopping;
+  peer.ready = condition.ready;
+  peer.stopping = condition.stopping;
+  peer.reads_store = condition.reads_store;
   peer.heard = now;
   return is_new;
 }
@@ -47,17 +54,24 @@
   return peer.heard != 0 && now - peer.heard <= kPeerSilence;
 }
 
+bool follows_tables(const PeerView& view, const PeerRecord& self,
+                    bool reads_store, Millis now) {
+  if (!reads_store) return true;
+  for (const auto& [vm, peer] : view.peers) {
+    if (!is_alive(peer, now) || peer.stopping || !peer.reads_store) continue;
+    if (peer.record.zone != self.zone) continue;
+    if (weight_of(vm, self.zone) > weight_of(self.vm, self.zone)) return false;
+  }
+  return true;
+}
+
 std::string turn_keeper(const PeerView& view, const std::string& self,
                         const std::string& endpoint, Millis now) {
-  const auto weight = [&](const std::string& vm) {
-    const std::string both = vm + "/" + endpoint;
-    return XXH3_64bits(both.data(), both.size());
-  };
   std::string keeper = self;
-  std::uint64_t most = weight(self);
+  std::uint64_t most = weight_of(self, endpoint);
   for (const auto& [vm, peer] : view.peers) {
     if (!is_alive(peer, now) || peer.stopping) continue;
-    const std::uint64_t theirs = weight(vm);
+    const std::uint64_t theirs = weight_of(vm, endpoint);
     if (theirs <= most) continue;
     most = theirs;
     keeper = vm;
--- a/src/libperidotreach/routing/peer_view.h
+++ b/src/libperidotreach/routing/peer_view.h
@@ -36,6 +36,8 @@
   bool listed = false;
   bool ready = false;
   bool stopping = false;
+  // Its calls to the store succeed.
+  bool reads_store = false;
   Millis first_known = 0;
   // 0 if it was never heard.
   Millis heard = 0;
@@ -54,9 +56,18 @@
 void list_peer(PeerView& view, const PeerRecord& record, Millis now);
 void unlist_peer(PeerView& view, const std::string& vm);
 
+// What a peer tells of its condition.
+struct PeerCondition {
+  bool ready = false;
+  bool stopping = false;
+  bool reads_store = false;
+
+  bool operator==(const PeerCondition&) const = default;
+};
+
 // A peer told about itself. Returns whether it was unknown, or has restarted.
-bool hear_peer(PeerView& view, const PeerRecord& record, bool ready,
-               bool stopping, Millis now);
+bool hear_peer(PeerView& view, const PeerRecord& record,
+               const PeerCondition& condition, Millis now);
 
 // Returns whether a peer counts as alive.
 bool is_alive(const PeerState& peer, Millis now);
@@ -66,6 +77,12 @@
 std::string turn_keeper(const PeerView& view, const std::string& self,
                         const std::string& endpoint, Millis now);
 
+// Returns whether `self` is the one process of its availability zone that
+// follows the store's busy tables for the others. `reads_store` tells whether
+// its own calls succeed.
+bool follows_tables(const PeerView& view, const PeerRecord& self,
+                    bool reads_store, Millis now);
+
 // Forgets peers that are neither listed nor heard. Returns their names.
 std::vector<std::string> forget_peers(PeerView& view, Millis now);
 
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -14,11 +14,15 @@
 // Interval of heartbeats while nothing changes.
 constexpr Millis kHeartbeat = 800;
 
-// Shortest interval of digests; with more peers it grows, so that a process
-// spends a bounded share of its time on them.
+// Shortest interval of digests; with more peers in the availability zone it
+// grows, so that a process spends a bounded share of its time on them.
 constexpr Millis kLeastInterval = 60;
 constexpr Millis kIntervalPerPeer = 8;
 
+// Interval of digests to other zones, whose endpoints are used less; with many
+// peers there it grows too.
+constexpr Millis kFarIntervalPerPeer = 15;
+
 // A table may lag for this long while the store's own news is on its way.
 constexpr Millis kTableLag = 200;
 
@@ -73,6 +77,7 @@
   fill(*digest.mutable_self(), self_);
   digest.set_ready(own.ready);
   digest.set_stopping(own.stopping);
+  digest.set_reads_store(own.reads_store);
   digest.set_manifest_revision(handlers_.table(kManifestTable).revision);
   digest.set_endpoints_revision(handlers_.table(kEndpointTable).revision);
   for (const EndpointUse& use : own.uses) {
@@ -110,8 +115,12 @@
   for (const GrantedTurn& granted : expire_turns(turns_, now)) {
     tell_granted(granted);
   }
-  const auto peers = static_cast<Millis>(view_.peers.size());
-  const Millis interval = std::max(kLeastInterval, kIntervalPerPeer * peers);
+  push_changes(own.reads_store, now);
+  Millis near = 0;
+  for (const auto& [vm, peer] : view_.peers) {
+    if (peer.record.zone == self_.zone) near += 1;
+  }
+  const Millis interval = std::max(kLeastInterval, kIntervalPerPeer * near);
   const Millis since = now - told_at_;
   if (since < interval) return;
   const bool changed =
@@ -209,9 +218,16 @@
 void PeerExchange::broadcast(const OwnDigest& own, Millis now) {
   const proto::Envelope message = digest_of(own);
   bool any_heard = false;
+  const auto peers = static_cast<Millis>(view_.peers.size());
+  const bool is_urgent =
+      own.stopping != told_.stopping || own.ready != told_.ready;
+  const bool tells_far =
+      is_urgent || now - told_far_ >= kFarIntervalPerPeer * peers;
+  if (tells_far) told_far_ = now;
   for (const auto& [vm, peer] : view_.peers) {
     if (vm == self_.vm) continue;
     any_heard = any_heard || peer.heard != 0;
+    if (!tells_far && peer.record.zone != self_.zone) continue;
     send(peer.record.link, message);
   }
   if (!any_heard) {
@@ -226,8 +242,9 @@
 void PeerExchange::hear(const proto::RoutingDigest& digest, Millis now) {
   const PeerRecord record = record_of(digest.self());
   if (record.vm.empty() || record.vm == self_.vm) return;
-  const bool is_new =
-      hear_peer(view_, record, digest.ready(), digest.stopping(), now);
+  const PeerCondition condition{digest.ready(), digest.stopping(),
+                                digest.reads_store()};
+  const bool is_new = hear_peer(view_, record, condition, now);
   for (const proto::PeerCell& cell : digest.peers()) {
     if (view_.peers.contains(cell.vm()) || cell.vm() == self_.vm) continue;
     PeerState& peer = view_.peers[cell.vm()];
@@ -259,6 +276,59 @@
   catch_up(kEndpointTable, digest.endpoints_revision(), record.link, now);
 }
 
+void PeerExchange::note_change(const std::string& table, const std::string& key,
+                               std::uint64_t before) {
+  UntoldChanges& untold = untold_[table];
+  if (untold.keys.empty()) untold.from_revision = before;
+  untold.keys.insert(key);
+}
+
+void PeerExchange::push_changes(bool reads_store, Millis now) {
+  const bool follows = follows_tables(view_, self_, reads_store, now);
+  for (auto& [name, untold] : untold_) {
+    if (untold.keys.empty()) continue;
+    const SharedTableState& table = handlers_.table(name);
+    proto::Envelope message = envelope();
+    proto::TableChange& change = *message.mutable_change();
+    change.set_name(name);
+    change.set_from_revision(untold.from_revision);
+    change.set_revision(table.revision);
+    for (const std::string& key : untold.keys) {
+      const auto item = table.items.find(key);
+      if (item == table.items.end()) {
+        change.add_removed(key);
+        continue;
+      }
+      proto::SharedItem& cell = *change.add_items();
+      cell.set_key(key);
+      cell.set_value(item->second);
+    }
+    untold.keys.clear();
+    if (!follows) continue;
+    for (const auto& [vm, peer] : view_.peers) {
+      if (peer.record.zone != self_.zone) continue;
+      send(peer.record.link, message);
+    }
+  }
+}
+
+void PeerExchange::take_change(const proto::TableChange& change,
+                               const std::string& link, Millis now) {
+  const std::uint64_t ours = handlers_.table(change.name()).revision;
+  if (change.revision() <= ours) return;
+  if (change.from_revision() > ours) {
+    catch_up(change.name(), change.revision(), link, now);
+    return;
+  }
+  for (const proto::SharedItem& item : change.items()) {
+    handlers_.on_change(change.name(), item.key(), &item.value(),
+                        change.revision());
+  }
+  for (const std::string& key : change.removed()) {
+    handlers_.on_change(change.name(), key, nullptr, change.revision());
+  }
+}
+
 void PeerExchange::catch_up(const std::string& table, std::uint64_t theirs,
                             const std::string& link, Millis now) {
   const std::uint64_t ours = handlers_.table(table).revision;
@@ -299,6 +369,12 @@
     answer_turn(message.vm(), message.turn(), now);
     return;
   }
+  if (message.has_change()) {
+    const auto peer = view_.peers.find(message.vm());
+    if (peer == view_.peers.end()) return;
+    take_change(message.change(), peer->second.record.link, now);
+    return;
+  }
   if (!message.has_table()) return;
   SharedTableState table;
   table.revision = message.table().revision();
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "libperidotreach/routing/copy_turns.h"
@@ -20,6 +21,7 @@
 
 namespace proto {
 class RoutingDigest;
+class TableChange;
 class TurnMessage;
 }  // namespace proto
 
@@ -31,6 +33,7 @@
 struct OwnDigest {
   bool ready = false;
   bool stopping = false;
+  bool reads_store = true;
   std::vector<EndpointUse> uses;
   std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
 
@@ -44,6 +47,9 @@
   std::function<void(const TurnGranted&)> on_turn;
   std::function<void(const TurnQueued&)> on_queued;
   std::function<void(const std::string& table, SharedTableState)> on_table;
+  std::function<void(const std::string& table, const std::string& key,
+                     const std::string* value, std::uint64_t revision)>
+      on_change;
   std::function<const SharedTableState&(const std::string& table)> table;
 };
 
@@ -58,6 +64,12 @@
   bool operator==(const TableLag&) const = default;
 };
 
+// Changed keys of a table that peers have not been told yet.
+struct UntoldChanges {
+  std::uint64_t from_revision = 0;
+  std::set<std::string> keys;
+};
+
 // The exchange of one process with its peers.
 class PeerExchange {
  public:
@@ -70,11 +82,17 @@
   // Tells peers if something changed or a heartbeat is due.
   void tick(const OwnDigest& own, Millis now);
 
+  // A table changed by the store's news. Peers in the same availability zone
+  // hear of it with the next tick if this process follows the store for them.
+  void note_change(const std::string& table, const std::string& key,
+                   std::uint64_t before);
+
   // Asks the keeper of the endpoint's turns for one, or gives it back.
   void ask_turn(const AskTurn& ask, Millis now);
   void end_turn(const EndTurn& end, Millis now);
 
   PeerView& view() { return view_; }
+  const PeerView& view() const { return view_; }
   const PeerRecord& self() const { return self_; }
   const LinkCounts& counts() const { return link_.counts(); }
 
@@ -88,6 +106,9 @@
                    Millis now);
   void tell_granted(const GrantedTurn& granted);
   void send_turn(const std::string& vm, const proto::TurnMessage& turn);
+  void push_changes(bool reads_store, Millis now);
+  void take_change(const proto::TableChange& change, const std::string& link,
+                   Millis now);
   void broadcast(const OwnDigest& own, Millis now);
   proto::Envelope digest_of(const OwnDigest& own) const;
   proto::Envelope envelope() const;
@@ -102,6 +123,8 @@
   std::uint64_t told_manifest_ = 0;
   std::uint64_t told_endpoints_ = 0;
   std::map<std::string, TableLag> lags_;
+  std::map<std::string, UntoldChanges> untold_;
+  Millis told_far_ = 0;
   TurnBook turns_;
 };
 
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -63,6 +63,10 @@
                  [this](const std::string& table, SharedTableState state) {
                    replace(table, std::move(state));
                  },
+                 [this](const std::string& table, const std::string& key,
+                        const std::string* value, std::uint64_t revision) {
+                   apply_change(table, key, value, revision);
+                 },
                  [this](const std::string& table) -> const SharedTableState& {
                    return tables_[table];
                  }}) {}
@@ -144,6 +148,7 @@
   OwnDigest own;
   own.ready = ready();
   own.stopping = stopping();
+  own.reads_store = reads_store_;
   for (const auto& [id, endpoint] : state_.endpoints) {
     const EndpointUse& use = endpoint.own;
     if (use.running == 0 && use.copies == 0) continue;
@@ -218,8 +223,24 @@
   co_await exchange.respond(std::move(response));
 }
 
+bool RouterNode::follows_tables() const {
+  return peridotreach::follows_tables(peers_.view(), peers_.self(),
+                                      reads_store_, monotonic_now());
+}
+
+std::uint64_t RouterNode::table_revision(const std::string& table) {
+  return tables_[table].revision;
+}
+
 void RouterNode::change_item(const std::string& table, const std::string& key,
                              const std::string* value, std::uint64_t revision) {
+  peers_.note_change(table, key, tables_[table].revision);
+  apply_change(table, key, value, revision);
+}
+
+void RouterNode::apply_change(const std::string& table, const std::string& key,
+                              const std::string* value,
+                              std::uint64_t revision) {
   peridotreach::change_item(
       tables_[table], key, value, revision,
       [&](const std::string& changed, const std::string* now) {
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -53,6 +53,13 @@
   void change_item(const std::string& table, const std::string& key,
                    const std::string* value, std::uint64_t revision);
   void replace(const std::string& table, SharedTableState state);
+  // Whether calls to the store succeed.
+  void set_reads_store(bool reads) { reads_store_ = reads; }
+
+  // Whether this process follows the store's busy tables; others hear of
+  // their changes from it.
+  bool follows_tables() const;
+  std::uint64_t table_revision(const std::string& table);
   PeerView& peers() { return peers_.view(); }
   const PeerRecord& self() const { return peers_.self(); }
 
@@ -82,6 +89,8 @@
   void perform(const RecordDecision& effect);
 
   std::shared_ptr<Exchange> find_exchange(std::uint64_t request) const;
+  void apply_change(const std::string& table, const std::string& key,
+                    const std::string* value, std::uint64_t revision);
   void on_item(const std::string& table, const std::string& key,
                const std::string* value);
   awaitable<void> copy(CopyGeneration order, std::string id);
@@ -109,6 +118,7 @@
   std::vector<std::weak_ptr<CallerSession>> sessions_;
   std::shared_ptr<tcp::acceptor> acceptor_;
   std::vector<decltype(RoutingEvent::body)> pending_;
+  bool reads_store_ = true;
   bool reducing_ = false;
   std::uint64_t next_request_ = 1;
   CallerLimits default_limits_;
