--- /dev/null
+++ b/tests/platform/decoders_test.cc
@@ -0,0 +1,257 @@
+// Tests of the platform's decoders: valid input, bad and unknown fields, other
+// types, truncated bytes.
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "platform/endpoint_decoder.h"
+#include "platform/http_format.h"
+#include "platform/manifest_decoder.h"
+#include "platform/metadata_store.h"
+#include "platform/names.h"
+#include "platform/platform_settings.h"
+
+namespace peridotreach::platform {
+namespace {
+
+const char* const kManifest = R"({"version":12,"routes":[
+  {"name":"r1","host":"a.test","path_prefix":"/reports/","type":"stream",
+   "timeout_ms":39000,"slo_ms":4000,"gap_slo_ms":180,"priority":2,
+   "backends":[{"service":"engines","weight":90},
+               {"service":"spare","weight":10}],
+   "attempts":1,"public":false,"affinity":true,"something_new":[1]},
+  {"name":"r2","host":"a.test","path_prefix":"/entries/",
+   "type":"non_idempotent","timeout_ms":800,"slo_ms":150,"priority":1,
+   "service":"plain","attempts":1,"public":true}],
+  "services":[{"name":"engines","max_conns":222,
+    "engine":{"slots":24,"kv_capacity":34197,"kv_token_bytes":163840,
+      "link_mbps":24000.0,"moves":true,"backups":true,"stride":4,
+      "handle_s":5.0}},{"name":"plain","max_conns":96}],
+  "limits":{"max_header_bytes":1000,"max_body_bytes":2000,
+    "header_timeout_ms":3000,"idle_timeout_ms":15000},
+  "tenants":[{"name":"mill","api_keys":["k1","k2"],"priority":0}]})";
+
+const char* const kEndpointText =
+    R"({"service":"engines","address":"127.0.0.5:8080","zone":"a",
+  "version":"v1","slots":24,"state":"draining","cold_left_ms":700,"seq":4,
+  "born":1783720206030})";
+
+const char* const kSettings = R"({"node":"front-a-1","zone":"a","region":"r",
+  "seeds":["127.0.0.2:8748","broken"],
+  "listen":{"front":"127.0.0.1:1","readiness":"127.0.0.1:2",
+            "control":"127.0.0.1:3","directory":"127.0.0.1:4"},
+  "bounds":{"retry_ratio":0.2,"retry_slack":52,"retry_window_s":10,
+            "grace_s":8},
+  "provider":{"address":"127.0.0.9:5","ttl_min_ms":1000}})";
+
+template <class Decode>
+void fuzz(const std::string& valid, Decode decode) {
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 2000; ++i) {
+    std::string text = valid;
+    const std::size_t at = random() % text.size();
+    if (i % 3 == 0) text.resize(at);
+    if (i % 3 == 1) text.erase(at, 1 + random() % 6);
+    if (i % 3 == 2) text[at] = static_cast<char>(random());
+    decode(text);
+  }
+  SUCCEED();
+}
+
+TEST_CASE("a manifest is decoded whole", "[platform]") {
+  const auto decoded = decode_manifest(kManifest);
+  REQUIRE(ok(decoded));
+  const Manifest& manifest = value(decoded);
+  CHECK(manifest.version == 12);
+  REQUIRE(manifest.routes.size() == 2);
+  CHECK(manifest.routes[0].kind == CallKind::kStream);
+  CHECK(manifest.routes[0].services.size() == 2);
+  CHECK(manifest.routes[0].gap_objective == 180);
+  CHECK(manifest.routes[1].open_to_all);
+  CHECK(manifest.services.at("engines").engine->memory_tokens == 34197);
+  CHECK(manifest.services.at("engines").engine->handle_life == 5000);
+  CHECK_FALSE(manifest.services.at("plain").engine.has_value());
+  CHECK(account_of(manifest, "k2")->name == "mill");
+  CHECK(account_of(manifest, "k3") == nullptr);
+  CHECK(manifest.limits.header_bytes == 1000);
+}
+
+TEST_CASE("a manifest that cannot be read is refused whole", "[platform]") {
+  CHECK_FALSE(ok(decode_manifest("")));
+  CHECK_FALSE(ok(decode_manifest("[]")));
+  CHECK_FALSE(ok(decode_manifest(R"({"routes":[]})")));
+  CHECK_FALSE(ok(decode_manifest(
+      R"({"version":1,"routes":[{"name":"r","type":"other"}]})")));
+  fuzz(kManifest, [](const std::string& text) { decode_manifest(text); });
+}
+
+TEST_CASE("an endpoint's entry is decoded", "[platform]") {
+  const auto decoded = decode_endpoint("i-1", kEndpointText);
+  REQUIRE(ok(decoded));
+  CHECK(value(decoded).id == "i-1");
+  CHECK(value(decoded).address == "127.0.0.5");
+  CHECK(value(decoded).port == 8080);
+  CHECK(value(decoded).leaving);
+  CHECK(value(decoded).warm_up == 700);
+  CHECK(value(decoded).born_ms == 1783720206030);
+}
+
+TEST_CASE("entries of other writers name no endpoint", "[platform]") {
+  const std::string valid = kEndpointText;
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = valid;
+    text.replace(text.find(from), from.size(), to);
+    return ok(decode_endpoint("i-1", text));
+  };
+  CHECK_FALSE(with("\"draining\"", "\"dancing\""));
+  CHECK_FALSE(with("\"draining\"", "7"));
+  CHECK_FALSE(with("24", "\"24\""));
+  CHECK_FALSE(with("24", "2.5"));
+  CHECK_FALSE(with("127.0.0.5:8080", "nowhere"));
+  CHECK_FALSE(with("\"engines\"", "null"));
+  CHECK_FALSE(with("1783720206030", "\"x\""));
+  fuzz(valid, [](const std::string& text) { decode_endpoint("i", text); });
+}
+
+TEST_CASE("settings are checked and all faults told at once", "[platform]") {
+  const auto decoded = decode_settings(kSettings);
+  REQUIRE(ok(decoded));
+  CHECK(value(decoded).router.vm == "front-a-1");
+  CHECK(value(decoded).router.link.port == 3);
+  CHECK(value(decoded).router.seeds.size() == 1);
+  CHECK(value(decoded).router.stop_grace == 8000);
+  CHECK(value(decoded).router.retries.slack == 52);
+  const auto faulty = decode_settings(R"({"node":"n","listen":{}})");
+  REQUIRE_FALSE(ok(faulty));
+  const std::string message = error(faulty).message;
+  CHECK(message.find("zone") != std::string::npos);
+  CHECK(message.find("retry_ratio") != std::string::npos);
+  CHECK_FALSE(error(faulty).remedy.empty());
+  fuzz(kSettings, [](const std::string& text) { decode_settings(text); });
+}
+
+TEST_CASE("items of the store are decoded, removals too", "[platform]") {
+  const auto answer = parse_object(
+      R"({"events":[{"key":"a","value":"bm9kZS0x","rev":4},
+                    {"key":"b","rev":5,"removed":true}],"store_revision":9})");
+  REQUIRE(ok(answer));
+  const auto items = decode_items(value(answer), "events");
+  REQUIRE(ok(items));
+  CHECK(value(items).revision == 9);
+  REQUIRE(value(items).items.size() == 2);
+  CHECK(value(items).items[0].value == "node-1");
+  CHECK(value(items).items[1].removed);
+  const auto bad =
+      parse_object(R"({"events":[{"key":"a","value":"%%%","rev":4}]})");
+  CHECK_FALSE(ok(decode_items(value(bad), "events")));
+}
+
+RawRequest raw_request() {
+  RawRequest raw;
+  raw.method = "POST";
+  raw.target = "/reports/7?x=1";
+  raw.headers = {{"Host", "a.test:80"},
+                 {"Connection", "keep-alive, X-Hop"},
+                 {"X-Hop", "1"},
+                 {"X-Other", "kept"},
+                 {"X-Other", "twice"},
+                 {std::string(kRequestId), "id-1"},
+                 {std::string(kPatience), "39000"},
+                 {std::string(kTokenUsage), "1460,80"},
+                 {std::string(kPromptParts), "5c1e:800, 91bd:410"},
+                 {std::string(kKey), "secret"},
+                 {std::string(kAccount), "forged"},
+                 {std::string(kMemorySource), "forged"},
+                 {std::string(kReservation), "forged"},
+                 {std::string(kPin), "forged"},
+                 {std::string(kBackup), "forged"},
+                 {std::string(kEndpoint), "forged"}};
+  raw.body = "body";
+  return raw;
+}
+
+std::vector<std::string> values_of(const ClientRequest& request,
+                                   std::string_view name) {
+  std::vector<std::string> values;
+  for (const HttpHeader& header : request.headers) {
+    if (header.name == name) values.push_back(header.value);
+  }
+  return values;
+}
+
+TEST_CASE("a caller's request is decoded", "[platform]") {
+  const CallerRequest request =
+      make_wire_format().decode_request(raw_request());
+  CHECK(request.id == "id-1");
+  CHECK(request.host == "a.test");
+  CHECK(request.path == "/reports/7");
+  CHECK(request.patience == 39000);
+  CHECK(request.prompt_tokens == 1460);
+  CHECK(request.most_output_tokens == 80);
+  REQUIRE(request.prompt_parts.size() == 2);
+  CHECK(request.prompt_parts[1] == PromptPart{"91bd", 410});
+  RawRequest other = raw_request();
+  other.body = "another";
+  CHECK(make_wire_format().decode_request(other).fingerprint !=
+        request.fingerprint);
+}
+
+TEST_CASE("callers cannot set what is the system's to set", "[platform]") {
+  StartAttempt attempt;
+  attempt.endpoint = "i-1";
+  attempt.account = "mill";
+  attempt.time_left = 1234;
+  const ClientRequest request =
+      make_wire_format().endpoint_request(raw_request(), attempt);
+  CHECK(request.host == "a.test:80");
+  CHECK(request.target == "/reports/7?x=1");
+  CHECK(values_of(request, kAccount) == std::vector<std::string>{"mill"});
+  CHECK(values_of(request, kEndpoint) == std::vector<std::string>{"i-1"});
+  CHECK(values_of(request, kPatience) == std::vector<std::string>{"1234"});
+  CHECK(values_of(request, "X-Other").size() == 2);
+  CHECK(values_of(request, "X-Hop").empty());
+  for (const std::string_view name :
+       {kKey, kMemorySource, kReservation, kPin, kBackup}) {
+    CHECK(values_of(request, name).empty());
+  }
+}
+
+TEST_CASE("a request that goes on elsewhere names its memory", "[platform]") {
+  StartAttempt attempt;
+  attempt.source = {"127.0.0.5", 80, "h-1", 17};
+  const ClientRequest request =
+      make_wire_format().endpoint_request(raw_request(), attempt);
+  CHECK(values_of(request, kMemorySource) ==
+        std::vector<std::string>{"127.0.0.5:80/h-1"});
+  CHECK(values_of(request, kLastEvent) == std::vector<std::string>{"17"});
+}
+
+TEST_CASE("an answer's head is judged by stamp, id and encoding",
+          "[platform]") {
+  const WireFormat format = make_wire_format();
+  const AnswerFacts facts = format.decode_answer(
+      200, {{std::string(kRequestId), "id-1"},
+            {std::string(kStamp), "s"},
+            {"Content-Type", "text/event-stream; charset=utf-8"}});
+  CHECK(facts.request_id == "id-1");
+  CHECK(facts.stamped);
+  CHECK(facts.is_event_stream);
+  CHECK_FALSE(facts.not_run);
+  CHECK(format.decode_answer(503, {{std::string(kNotRun), "1"}}).not_run);
+  CHECK(format.decode_answer(200, {{"Content-Encoding", "gzip"}}).encoded);
+}
+
+TEST_CASE("refusals echo the id and say when to come back", "[platform]") {
+  const auto headers = make_wire_format().own_headers(raw_request(), 250);
+  bool echoed = false;
+  bool told = false;
+  for (const HttpHeader& header : headers) {
+    echoed = echoed || (header.name == kRequestId && header.value == "id-1");
+    told = told || (header.name == kRetryAfter && header.value == "0.250");
+  }
+  CHECK(echoed);
+  CHECK(told);
+}
+
+}  // namespace
+}  // namespace peridotreach::platform
--- /dev/null
+++ b/tests/routing/requests_test.cc
@@ -0,0 +1,237 @@
+// Tests of routed requests: matching, truthful refusals, retries, time-outs.
+
+#include <catch2/catch.hpp>
+
+#include "libperidotreach/routing/endpoint_choice.h"
+#include "tests/routing/router_sample.h"
+
+namespace peridotreach {
+namespace {
+
+using samples::effects_of;
+using samples::SampleRouter;
+
+unsigned status_of(const std::vector<RoutingEffect>& effects) {
+  const auto answers = effects_of<AnswerCaller>(effects);
+  return answers.empty() ? 0 : answers.back().status;
+}
+
+TEST_CASE("requests without a manifest are refused as not run", "[routing]") {
+  RoutingState state = initial_routing_state({});
+  RoutingEvent event;
+  event.body = RequestArrived{1, {}};
+  const RoutingStep step = reduce(state, event);
+  CHECK(status_of(step.effects) == 503);
+}
+
+TEST_CASE("unknown routes and keys are told apart", "[routing]") {
+  SampleRouter router;
+  router.request("/nowhere/x");
+  CHECK(status_of(router.effects) == 404);
+  RequestArrived event;
+  event.request = 99;
+  event.facts.host = "example.test";
+  event.facts.path = "/entry/1";
+  event.facts.key = "another";
+  CHECK(status_of(router.apply(event)) == 401);
+}
+
+TEST_CASE("the longest prefix of a host wins", "[routing]") {
+  Manifest manifest = samples::sample_manifest(1);
+  Route longer = manifest.routes[1];
+  longer.name = "longer";
+  longer.path_prefix = "/entry/special/";
+  manifest.routes.push_back(longer);
+  CHECK(match_route(manifest, "example.test", "/entry/special/1")->name ==
+        "longer");
+  CHECK(match_route(manifest, "example.test", "/entry/1")->name == "entry");
+  CHECK(match_route(manifest, "other.test", "/entry/1") == nullptr);
+}
+
+TEST_CASE("an older manifest never comes into force", "[routing]") {
+  SampleRouter router;
+  router.apply(ManifestTaken{samples::sample_manifest(7)});
+  router.apply(ManifestTaken{samples::sample_manifest(3)});
+  CHECK(router.state.manifest->version == 7);
+}
+
+TEST_CASE("a broken answer of a non-idempotent call promises nothing",
+          "[routing]") {
+  SampleRouter router;
+  const auto request = router.request("/entry/1");
+  const auto effects =
+      router.apply(AttemptEnded{request, 1, AttemptEnd::kBroken, 0});
+  CHECK(status_of(effects) == 502);
+  CHECK(effects_of<StartAttempt>(effects).empty());
+}
+
+TEST_CASE("a connection that failed lets a call go to another endpoint",
+          "[routing]") {
+  SampleRouter router;
+  const auto request = router.request("/entry/1");
+  const std::string first = router.attempt(request).endpoint;
+  router.apply(AttemptEnded{request, 1, AttemptEnd::kNotSent, 0});
+  CHECK(router.attempt(request).attempt == 2);
+  CHECK(router.attempt(request).endpoint != first);
+}
+
+TEST_CASE("an endpoint's refusal is passed on as not run", "[routing]") {
+  SampleRouter router;
+  const auto request = router.request("/entry/1");
+  const auto effects =
+      router.apply(AttemptEnded{request, 1, AttemptEnd::kNotRun, 503});
+  const auto answers = effects_of<AnswerCaller>(effects);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].status == 503);
+  CHECK(answers[0].retry_after >= 0);
+}
+
+TEST_CASE("idempotent calls are tried again within their attempts",
+          "[routing]") {
+  SampleRouter router;
+  const auto request = router.request("/lookup/1");
+  const std::string first = router.attempt(request).endpoint;
+  router.apply(AttemptEnded{request, 1, AttemptEnd::kWhole, 500});
+  CHECK(router.attempt(request).endpoint != first);
+  const auto effects =
+      router.apply(AttemptEnded{request, 2, AttemptEnd::kWhole, 500});
+  CHECK(effects_of<StartAttempt>(effects).empty());
+  CHECK(effects_of<DeliverAnswer>(effects).size() == 1);
+}
+
+TEST_CASE("repeats stop when the shared budget is used", "[routing]") {
+  RetryBudget budget;
+  const RetryAllowance allowance{0.2, 10, 10 * kSecond};
+  for (int i = 0; i < 100; ++i) note_request(budget, allowance, 1000);
+  int taken = 0;
+  while (take_repeat(budget, allowance, 2, 1000)) taken += 1;
+  CHECK(taken == 20);
+  CHECK(take_repeat(budget, allowance, 2, 12000) == true);
+}
+
+TEST_CASE("a request unanswered at its time-out ends and stops its endpoint",
+          "[routing]") {
+  SampleRouter router;
+  const auto request = router.request("/entry/1");
+  const auto effects = router.pass(20 * kSecond);
+  CHECK(status_of(effects) == 504);
+  REQUIRE(effects_of<DropAttempt>(effects).size() == 1);
+  CHECK(effects_of<DropAttempt>(effects)[0].request == request);
+}
+
+TEST_CASE("the endpoint stops when the caller leaves", "[routing]") {
+  SampleRouter router;
+  const auto request = router.request("/stream/1");
+  const auto effects = router.apply(CallerLeft{request});
+  CHECK(effects_of<DropAttempt>(effects).size() == 1);
+  CHECK(router.state.requests.empty());
+  for (const auto& [id, endpoint] : router.state.endpoints) {
+    CHECK(endpoint.own.running == 0);
+    CHECK(endpoint.own.tokens == 0);
+    CHECK(endpoint.own.unread_tokens == 0);
+  }
+}
+
+TEST_CASE("endpoints that leave take no new work", "[routing]") {
+  SampleRouter router;
+  EndpointEntry leaving = samples::sample_endpoint("p1", "plain");
+  leaving.leaving = true;
+  router.apply(EndpointListed{leaving});
+  for (int i = 0; i < 10; ++i) {
+    CHECK(router.attempt(router.request("/entry/1")).endpoint == "p2");
+  }
+  router.apply(EndpointUnlisted{"p2"});
+  router.request("/entry/1");
+  CHECK(status_of(router.effects) == 503);
+}
+
+TEST_CASE("a misdirected request ejects the stale entry", "[routing]") {
+  SampleRouter router;
+  const auto request = router.request("/lookup/1");
+  const std::string stale = router.attempt(request).endpoint;
+  router.apply(AttemptEnded{request, 1, AttemptEnd::kMisdirected, 421});
+  CHECK_FALSE(
+      takes_new_work(router.state.endpoints.at(stale), router.state.now));
+}
+
+TEST_CASE("a request in flight at three deaths is refused", "[routing]") {
+  SampleRouter router;
+  RequestArrived event;
+  event.facts.host = "example.test";
+  event.facts.path = "/entry/1";
+  event.facts.key = "key-1";
+  event.facts.fingerprint = 77;
+  for (std::uint64_t i = 500; i < 503; ++i) {
+    event.request = i;
+    router.apply(event);
+    router.apply(AttemptEnded{i, 1, AttemptEnd::kBroken, 0});
+  }
+  event.request = 503;
+  const auto effects = router.apply(event);
+  CHECK(status_of(effects) == 503);
+  CHECK(effects_of<StartAttempt>(effects).empty());
+}
+
+TEST_CASE("deaths that peers saw count as well", "[routing]") {
+  SampleRouter router;
+  PeerUseArrived told;
+  told.peer = "vm-2";
+  told.suspects = {{77, 3}};
+  router.apply(told);
+  RequestArrived event;
+  event.request = 500;
+  event.facts.host = "example.test";
+  event.facts.path = "/entry/1";
+  event.facts.key = "key-1";
+  event.facts.fingerprint = 77;
+  CHECK(status_of(router.apply(event)) == 503);
+}
+
+TEST_CASE("streams wait for room and then go to the endpoint with the most",
+          "[routing]") {
+  SampleRouter router;
+  PeerUseArrived busy;
+  busy.peer = "vm-2";
+  busy.uses = {{"e1", 8, 33000}, {"e2", 8, 33000}, {"e3", 8, 33000}};
+  router.apply(busy);
+  const auto request = router.request("/stream/1");
+  CHECK(router.attempt(request).attempt == 0);
+  busy.uses = {{"e1", 8, 33000}, {"e2", 8, 33000}, {"e3", 1, 1000}};
+  router.apply(busy);
+  router.pass(40);
+  CHECK(router.attempt(request).endpoint == "e3");
+}
+
+TEST_CASE("streams do not wait longer than their objective allows",
+          "[routing]") {
+  SampleRouter router;
+  PeerUseArrived busy;
+  busy.peer = "vm-2";
+  busy.uses = {{"e1", 8, 33000}, {"e2", 8, 33000}, {"e3", 8, 33000}};
+  router.apply(busy);
+  const auto request = router.request("/stream/1");
+  router.pass(3500);
+  CHECK(router.attempt(request).attempt == 1);
+}
+
+TEST_CASE("what peers told is forgotten when they are lost", "[routing]") {
+  SampleRouter router;
+  PeerUseArrived busy;
+  busy.peer = "vm-2";
+  busy.uses = {{"e1", 8, 33000}};
+  router.apply(busy);
+  CHECK(router.state.endpoints.at("e1").peers.tokens == 33000);
+  router.apply(PeerLost{"vm-2"});
+  CHECK(router.state.endpoints.at("e1").peers.tokens == 0);
+}
+
+TEST_CASE("a failing endpoint gets less work and is tried again later",
+          "[routing]") {
+  EndpointState endpoint;
+  for (int i = 0; i < 10; ++i) note_answer(endpoint, true, 1000);
+  CHECK(failure_share_at(endpoint, 1000) > 0.9);
+  CHECK(failure_share_at(endpoint, 1000 + 20 * kSecond) < 0.1);
+}
+
+}  // namespace
+}  // namespace peridotreach
--- /dev/null
+++ b/tests/routing/router_sample.cc
@@ -0,0 +1,119 @@
+#include "tests/routing/router_sample.h"
+
+#include <utility>
+
+namespace peridotreach::samples {
+namespace {
+
+Route sample_route(const std::string& name, CallKind kind,
+                   const std::string& service) {
+  Route route;
+  route.name = name;
+  route.host = "example.test";
+  route.path_prefix = "/" + name + "/";
+  route.kind = kind;
+  route.timeout = 30 * kSecond;
+  route.objective = kind == CallKind::kStream ? 4 * kSecond : 150;
+  route.attempts = kind == CallKind::kIdempotent ? 2 : 1;
+  route.rank = 2;
+  route.services = {{service, 1}};
+  return route;
+}
+
+}  // namespace
+
+Manifest sample_manifest(std::uint64_t version) {
+  Manifest manifest;
+  manifest.version = version;
+  manifest.routes = {sample_route("stream", CallKind::kStream, "engines"),
+                     sample_route("entry", CallKind::kNonIdempotent, "plain"),
+                     sample_route("lookup", CallKind::kIdempotent, "plain")};
+  ServiceSpec engines;
+  engines.name = "engines";
+  EngineShape shape;
+  shape.slots = 24;
+  shape.memory_tokens = 34000;
+  shape.tokens_per_event = 4;
+  shape.can_move = true;
+  engines.engine = shape;
+  manifest.services["engines"] = engines;
+  manifest.services["plain"].name = "plain";
+  manifest.has_accounts = true;
+  Account account;
+  account.name = "mill";
+  account.keys = {"key-1"};
+  manifest.accounts = {account};
+  index_keys(manifest);
+  return manifest;
+}
+
+EndpointEntry sample_endpoint(const std::string& id,
+                              const std::string& service,
+                              const std::string& zone) {
+  EndpointEntry entry;
+  entry.id = id;
+  entry.service = service;
+  entry.address = "127.0.0.9";
+  entry.port = 8000;
+  entry.zone = zone;
+  entry.slots = 24;
+  entry.born_ms = 1;
+  return entry;
+}
+
+SampleRouter::SampleRouter()
+    : state(initial_routing_state({"vm-1", "a", RetryAllowance()})) {
+  apply(ManifestTaken{sample_manifest(1)});
+  for (const char* id : {"e1", "e2", "e3"}) {
+    apply(EndpointListed{sample_endpoint(id, "engines")});
+  }
+  for (const char* id : {"p1", "p2"}) {
+    apply(EndpointListed{sample_endpoint(id, "plain")});
+  }
+}
+
+std::vector<RoutingEffect> SampleRouter::apply(
+    decltype(RoutingEvent::body) body) {
+  RoutingEvent event;
+  event.at = now;
+  event.random = 12345 + static_cast<std::uint64_t>(now);
+  event.body = std::move(body);
+  RoutingStep step = reduce(std::move(state), event);
+  state = std::move(step.state);
+  for (const auto& attempt : effects_of<StartAttempt>(step.effects)) {
+    attempts_.push_back(attempt);
+  }
+  effects.insert(effects.end(), step.effects.begin(), step.effects.end());
+  return step.effects;
+}
+
+std::vector<RoutingEffect> SampleRouter::pass(Millis duration) {
+  now += duration;
+  return apply(RoutingTicked{});
+}
+
+std::uint64_t SampleRouter::request(const std::string& path) {
+  RequestArrived event;
+  event.request = next_++;
+  event.facts.id = "id-" + std::to_string(event.request);
+  event.facts.host = "example.test";
+  event.facts.path = path;
+  event.facts.key = "key-1";
+  event.facts.patience = 20 * kSecond;
+  event.facts.prompt_tokens = 3000;
+  event.facts.most_output_tokens = 1000;
+  event.facts.length_hint = 800;
+  event.facts.fingerprint = 1000 + event.request;
+  apply(event);
+  return event.request;
+}
+
+StartAttempt SampleRouter::attempt(std::uint64_t request) const {
+  StartAttempt last;
+  for (const StartAttempt& attempt : attempts_) {
+    if (attempt.request == request) last = attempt;
+  }
+  return last;
+}
+
+}  // namespace peridotreach::samples
--- /dev/null
+++ b/tests/routing/routing_property_test.cc
@@ -0,0 +1,263 @@
+// Seeded property tests of the routing reducer: random sequences of events,
+// faults among them, against what callers and endpoints must never see.
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+#include "tests/routing/router_sample.h"
+
+namespace peridotreach {
+namespace {
+
+using samples::effects_of;
+using samples::SampleRouter;
+
+constexpr std::uint32_t kSequences = 200;
+constexpr int kSteps = 300;
+
+// What the outside has seen of one request.
+struct Seen {
+  CallKind kind = CallKind::kStream;
+  std::uint32_t last_attempt = 0;
+  // Attempts that an endpoint may have run.
+  std::uint32_t may_have_run = 0;
+  std::set<std::uint32_t> open;
+  int outcomes = 0;
+  bool moved = false;
+};
+
+class World {
+ public:
+  explicit World(std::uint32_t seed) : random_(seed) {}
+
+  void run() {
+    for (int i = 0; i < kSteps; ++i) step();
+    finish();
+  }
+
+ private:
+  std::uint64_t draw(std::uint64_t bound) { return random_() % bound; }
+
+  void send(decltype(RoutingEvent::body) body) {
+    check(router_.apply(std::move(body)));
+  }
+
+  void step() {
+    switch (draw(10)) {
+      case 0:
+      case 1:
+        arrive();
+        return;
+      case 2:
+      case 3:
+      case 4:
+        end_attempt();
+        return;
+      case 5:
+        stream_event();
+        return;
+      case 6:
+        change_endpoint();
+        return;
+      case 7:
+        answer_copy();
+        return;
+      case 8:
+        leave();
+        return;
+      default:
+        check(router_.pass(static_cast<Millis>(draw(400))));
+    }
+  }
+
+  void arrive() {
+    const char* const paths[] = {"/stream/1", "/entry/1", "/lookup/1"};
+    const CallKind kinds[] = {CallKind::kStream, CallKind::kNonIdempotent,
+                              CallKind::kIdempotent};
+    const std::uint64_t which = draw(3);
+    const std::size_t before = router_.effects.size();
+    next_ += 1;
+    seen_[next_].kind = kinds[which];
+    REQUIRE(router_.request(paths[which]) == next_);
+    check({router_.effects.begin() + static_cast<std::ptrdiff_t>(before),
+           router_.effects.end()});
+  }
+
+  // Returns an attempt that is under way, with its request; 0 if none is.
+  std::pair<std::uint64_t, std::uint32_t> any_attempt() {
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> all;
+    for (const auto& [key, seen] : seen_) {
+      for (const std::uint32_t attempt : seen.open) {
+        all.emplace_back(key, attempt);
+      }
+    }
+    if (all.empty()) return {0, 0};
+    return all[draw(all.size())];
+  }
+
+  void end_attempt() {
+    const auto [key, attempt] = any_attempt();
+    if (key == 0) return;
+    const AttemptEnd ends[] = {AttemptEnd::kNotSent, AttemptEnd::kNotRun,
+                               AttemptEnd::kMisdirected, AttemptEnd::kWhole,
+                               AttemptEnd::kStreamEnded, AttemptEnd::kBroken};
+    AttemptEnd end = ends[draw(6)];
+    Seen& seen = seen_[key];
+    const bool opened = opened_.contains({key, attempt});
+    if (opened && end != AttemptEnd::kBroken) end = AttemptEnd::kStreamEnded;
+    if (!opened && end == AttemptEnd::kStreamEnded) end = AttemptEnd::kWhole;
+    const bool ran = end == AttemptEnd::kWhole || end == AttemptEnd::kBroken ||
+                     end == AttemptEnd::kStreamEnded;
+    if (!ran) seen.may_have_run -= 1;
+    seen.open.erase(attempt);
+    send(AttemptEnded{key, attempt, end, draw(2) == 0 ? 200U : 500U});
+  }
+
+  void stream_event() {
+    const auto [key, attempt] = any_attempt();
+    if (key == 0 || seen_[key].kind != CallKind::kStream) return;
+    if (!opened_.contains({key, attempt})) {
+      opened_.insert({key, attempt});
+      send(StreamOpened{key, attempt});
+    }
+    events_[key] += 1;
+    send(StreamEventArrived{key, attempt, events_[key]});
+  }
+
+  void change_endpoint() {
+    const char* const ids[] = {"e1", "e2", "e3", "p1", "p2"};
+    const std::uint64_t which = draw(5);
+    if (draw(4) == 0) {
+      send(EndpointUnlisted{ids[which]});
+      return;
+    }
+    EndpointEntry entry = samples::sample_endpoint(
+        ids[which], which < 3 ? "engines" : "plain");
+    entry.leaving = draw(3) == 0;
+    entry.born_ms = 1 + draw(2);
+    send(EndpointListed{entry});
+  }
+
+  void answer_copy() {
+    for (const auto& [key, request] : router_.state.requests) {
+      const MovePhase phase = request.move.phase;
+      if (phase == MovePhase::kWaiting && draw(2) == 0) {
+        send(TurnGranted{key, request.endpoint});
+        return;
+      }
+      const bool copies =
+          phase == MovePhase::kCopying || phase == MovePhase::kStopping;
+      if (!copies || draw(2) == 0) continue;
+      CopyAnswered answer;
+      answer.request = key;
+      const unsigned statuses[] = {200, 200, 200, 503, 0};
+      answer.status = statuses[draw(5)];
+      if (answer.status == 200) answer.handle = "h";
+      answer.events_made = request.last_event;
+      send(answer);
+      return;
+    }
+  }
+
+  void leave() {
+    const auto [key, attempt] = any_attempt();
+    if (key == 0) return;
+    left_.insert(key);
+    send(CallerLeft{key});
+  }
+
+  void check(const std::vector<RoutingEffect>& effects) {
+    for (const RoutingEffect& effect : effects) {
+      std::visit([this](const auto& body) { look(body); }, effect);
+    }
+  }
+
+  void look(const StartAttempt& effect) {
+    Seen& seen = seen_[effect.request];
+    CHECK(seen.outcomes == 0);
+    CHECK(effect.attempt > seen.last_attempt);
+    CHECK(effect.time_left > 0);
+    seen.last_attempt = effect.attempt;
+    const bool resumes = !effect.source.handle.empty();
+    if (resumes) {
+      CHECK(seen.open.empty());
+      seen.moved = true;
+    } else if (seen.kind != CallKind::kIdempotent) {
+      CHECK(seen.may_have_run == 0);
+    }
+    const auto& target = router_.state.endpoints.at(effect.endpoint);
+    CHECK(target.entry.service ==
+          (seen.kind == CallKind::kStream ? "engines" : "plain"));
+    seen.may_have_run += 1;
+    seen.open.insert(effect.attempt);
+  }
+
+  void look(const DropAttempt& effect) {
+    seen_[effect.request].open.erase(effect.attempt);
+  }
+
+  void look(const AnswerCaller& effect) {
+    Seen& seen = seen_[effect.request];
+    seen.outcomes += 1;
+    const bool promises = effect.status == 503 || effect.status == 429;
+    if (promises && seen.kind != CallKind::kIdempotent) {
+      CHECK(seen.may_have_run == 0);
+    }
+  }
+
+  void look(const DeliverAnswer& effect) {
+    seen_[effect.request].outcomes += 1;
+  }
+  void look(const FinishStream& effect) {
+    seen_[effect.request].outcomes += 1;
+  }
+  void look(const BreakOff& effect) { seen_[effect.request].outcomes += 1; }
+  void look(const RelayStream& effect) {
+    CHECK(seen_[effect.request].outcomes == 0);
+  }
+  void look(const CopyGeneration& effect) {
+    CHECK(seen_[effect.request].kind == CallKind::kStream);
+  }
+  void look(const AskTurn&) {}
+  void look(const EndTurn&) {}
+  void look(const FreeCopy&) {}
+  void look(const RecordDecision&) {}
+
+  // At last everything has timed out: each request has one outcome or its
+  // caller left, and nothing stays booked.
+  void finish() {
+    check(router_.pass(60 * kSecond));
+    CHECK(router_.state.requests.empty());
+    for (const auto& [key, seen] : seen_) {
+      CHECK(seen.outcomes == (left_.contains(key) ? 0 : 1));
+    }
+    for (const auto& [id, endpoint] : router_.state.endpoints) {
+      CHECK(endpoint.own.running == 0);
+      CHECK(endpoint.own.tokens == 0);
+      CHECK(endpoint.own.unread_tokens == 0);
+      CHECK(endpoint.own.copies == 0);
+    }
+  }
+
+  std::mt19937_64 random_;
+  SampleRouter router_;
+  std::uint64_t next_ = 0;
+  std::map<std::uint64_t, Seen> seen_;
+  std::map<std::uint64_t, std::int64_t> events_;
+  std::set<std::pair<std::uint64_t, std::uint32_t>> opened_;
+  std::set<std::uint64_t> left_;
+};
+
+TEST_CASE("random faults never break what the router promises",
+          "[routing][property]") {
+  for (std::uint32_t seed = 1; seed <= kSequences; ++seed) {
+    INFO("seed " << seed);
+    World world(seed);
+    world.run();
+  }
+}
+
+}  // namespace
+}  // namespace peridotreach
--- /dev/null
+++ b/tests/routing/tables_test.cc
@@ -0,0 +1,131 @@
+// Tests of what router processes share: tables, views of peers, streams cut
+// into events.
+
+#include <catch2/catch.hpp>
+
+#include "libperidotreach/routing/peer_view.h"
+#include "peridot-router/event_framer.h"
+#include "peridot-router/shared_table.h"
+
+namespace peridotreach {
+namespace {
+
+PeerRecord record(const std::string& vm, const std::string& zone,
+                  std::uint64_t incarnation = 1) {
+  return {vm, zone, vm + ":1", vm + ":2", incarnation};
+}
+
+TEST_CASE("an older table does not replace a newer one", "[tables]") {
+  SharedTableState table;
+  int changes = 0;
+  const ItemChanged count = [&](const std::string&, const std::string*) {
+    changes += 1;
+  };
+  replace_table(table, {7, {{"a", "1"}, {"b", "2"}}}, count);
+  CHECK(changes == 2);
+  replace_table(table, {5, {{"a", "0"}}}, count);
+  CHECK(changes == 2);
+  CHECK(table.items.at("a") == "1");
+  replace_table(table, {9, {{"a", "1"}}}, count);
+  CHECK(changes == 3);
+  CHECK(table.items.size() == 1);
+  CHECK(table.revision == 9);
+}
+
+TEST_CASE("callers get addresses of live peers in their zone", "[peers]") {
+  PeerView view;
+  const PeerCondition ready{true, false, true};
+  hear_peer(view, record("b1", "b"), ready, 1000);
+  hear_peer(view, record("b2", "b"), ready, 1000);
+  hear_peer(view, record("c1", "c"), ready, 1000);
+  const PeerRecord self = record("a1", "a");
+  CHECK(caller_addresses(view, &self, "b", 1000).size() == 2);
+  CHECK(caller_addresses(view, &self, "c", 1000).size() == 4);
+  hear_peer(view, record("b2", "b"), {true, true, true}, 1100);
+  CHECK(caller_addresses(view, &self, "b", 1100).size() == 3);
+  CHECK(caller_addresses(view, &self, "b", 9000).size() == 1);
+  CHECK(caller_addresses(view, nullptr, "b", 9000).empty());
+}
+
+TEST_CASE("a peer that is unlisted but heard stays", "[peers]") {
+  PeerView view;
+  list_peer(view, record("b1", "b"), 1000);
+  hear_peer(view, record("b1", "b"), {true, false, true}, 2000);
+  unlist_peer(view, "b1");
+  CHECK(forget_peers(view, 3000).empty());
+  CHECK(forget_peers(view, 60000).size() == 1);
+}
+
+TEST_CASE("news of an earlier incarnation is ignored", "[peers]") {
+  PeerView view;
+  hear_peer(view, record("b1", "b", 9), {true, false, true}, 1000);
+  CHECK_FALSE(hear_peer(view, record("b1", "b", 3), {}, 1100));
+  list_peer(view, record("b1", "b", 3), 1200);
+  CHECK(view.peers.at("b1").record.incarnation == 9);
+  CHECK(view.peers.at("b1").ready);
+}
+
+TEST_CASE("one process of a zone follows the busy tables", "[peers]") {
+  const std::vector<std::string> vms = {"a1", "a2", "a3"};
+  int followers = 0;
+  for (const std::string& self : vms) {
+    PeerView view;
+    for (const std::string& vm : vms) {
+      if (vm != self) {
+        hear_peer(view, record(vm, "a"), {true, false, true}, 1000);
+      }
+    }
+    if (follows_tables(view, record(self, "a"), true, 1000)) followers += 1;
+    CHECK(follows_tables(view, record(self, "a"), true, 9000));
+    CHECK(follows_tables(view, record(self, "a"), false, 1000));
+  }
+  CHECK(followers == 1);
+}
+
+TEST_CASE("a follower that cannot read the store is replaced", "[peers]") {
+  PeerView view;
+  hear_peer(view, record("a2", "a"), {true, false, false}, 1000);
+  hear_peer(view, record("a3", "a"), {true, false, false}, 1000);
+  CHECK(follows_tables(view, record("a1", "a"), true, 1000));
+}
+
+TEST_CASE("all processes find the same keeper of turns", "[peers]") {
+  PeerView first;
+  hear_peer(first, record("a2", "a"), {}, 1000);
+  PeerView second;
+  hear_peer(second, record("a1", "a"), {}, 1000);
+  for (const char* endpoint : {"e1", "e2", "e3", "e4"}) {
+    CHECK(turn_keeper(first, "a1", endpoint, 1000) ==
+          turn_keeper(second, "a2", endpoint, 1000));
+  }
+}
+
+TEST_CASE("streams are cut at the ends of events, however they arrive",
+          "[framer]") {
+  const std::string bytes =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nevent: x\nid:3\n\n";
+  for (std::size_t size = 1; size <= bytes.size(); ++size) {
+    EventFramer framer;
+    std::vector<FramedEvent> events;
+    for (std::size_t at = 0; at < bytes.size(); at += size) {
+      for (FramedEvent& event : framer.feed(bytes.substr(at, size))) {
+        events.push_back(std::move(event));
+      }
+    }
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].id == 1);
+    CHECK(events[1].id == 2);
+    CHECK(events[2].id == 3);
+    CHECK(events[0].bytes + events[1].bytes + events[2].bytes == bytes);
+    CHECK_FALSE(framer.has_rest());
+  }
+}
+
+TEST_CASE("an unfinished event is not relayed", "[framer]") {
+  EventFramer framer;
+  CHECK(framer.feed("id: 1\ndata: a\n").empty());
+  CHECK(framer.has_rest());
+}
+
+}  // namespace
+}  // namespace peridotreach
