Grant room at engines by one process of a cell; tell peers of breaks

Change: streams ask the keeper of a cell's room, the fleet or in large ones a zone, and place by their own view if it is silent; digests carry recent breaks.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -22,6 +22,14 @@
 // Burden of memory that is projected to run out, for each share over it.
 constexpr double kOverfullBurden = 6.0;
 
+// Burden of each recent break, whoever saw it, up to a bound: a faulty
+// endpoint is avoided but not forgotten.
+constexpr double kBreakBurden = 0.7;
+constexpr double kMostBreaks = 3.0;
+
+// Time in which a break loses half of its weight.
+constexpr double kBreakHalfLife = 2.0 * kSecond;
+
 // Weight of the batch beside the memory of an engine.
 constexpr double kBatchBurden = 0.3;
 
@@ -43,11 +51,23 @@
   return endpoint.entry.slots == 0 ? kDefaultSlots : endpoint.entry.slots;
 }
 
-double memory_share(const EndpointState& endpoint, const EngineShape& engine,
-                    std::uint64_t tokens) {
+// Returns what has been granted to others at an endpoint and may not show yet.
+EndpointUse granted_at(const RoutingState& state, const std::string& endpoint) {
+  EndpointUse sum;
+  for (const GrantedRoom& room : state.granted) {
+    if (room.endpoint != endpoint) continue;
+    sum.running += 1;
+    sum.tokens += room.tokens;
+    sum.unread_tokens += room.unread_tokens;
+  }
+  return sum;
+}
+
+double memory_share(const EndpointState& endpoint, const EndpointUse& granted,
+                    const EngineShape& engine, std::uint64_t tokens) {
   const double capacity = std::max(1.0, double(engine.memory_tokens));
-  const auto held =
-      double(endpoint.own.tokens + endpoint.peers.tokens + tokens);
+  const auto held = double(endpoint.own.tokens + endpoint.peers.tokens +
+                           granted.tokens + tokens);
   return held / capacity;
 }
 
@@ -56,18 +76,23 @@
 }
 
 double burden(const RoutingState& state, const EndpointState& endpoint,
-              const EndpointNeed& need, const ServiceSpec* service) {
-  const double batch =
-      double(endpoint.own.running + endpoint.peers.running + 1) /
-      slots_of(endpoint);
+              const EndpointUse& granted, const EndpointNeed& need,
+              const ServiceSpec* service) {
+  const double batch = double(endpoint.own.running + endpoint.peers.running +
+                              granted.running + 1) /
+                       slots_of(endpoint);
   double sum = batch;
   if (service != nullptr && service->engine && need.tokens > 0) {
     const auto unread =
-        double(endpoint.own.unread_tokens + endpoint.peers.unread_tokens);
+        double(endpoint.own.unread_tokens + endpoint.peers.unread_tokens +
+               granted.unread_tokens);
     sum = kBatchBurden * batch + unread / kUnreadTokens +
-          memory_burden(memory_share(endpoint, *service->engine, need.tokens));
+          memory_burden(
+              memory_share(endpoint, granted, *service->engine, need.tokens));
   }
   sum += need.copy_burden * double(endpoint.own.copies + endpoint.peers.copies);
+  sum += kBreakBurden * std::min(kMostBreaks, breaks_at(endpoint, state.now) +
+                                                  endpoint.peers.breaks);
   sum += kFailureBurden * failure_share_at(endpoint, state.now);
   const std::string& zone = need.zone.empty() ? state.self.zone : need.zone;
   if (endpoint.entry.zone != zone) sum += need.other_zone_burden;
@@ -103,11 +128,12 @@
     if (need.except.contains(id)) continue;
     if (!takes_new_work(endpoint, state.now)) continue;
     const bool has_memory = service != nullptr && service->engine;
-    if (has_memory && memory_share(endpoint, *service->engine, need.tokens) >
-                          need.most_memory) {
+    const EndpointUse granted = granted_at(state, id);
+    if (has_memory && memory_share(endpoint, granted, *service->engine,
+                                   need.tokens) > need.most_memory) {
       continue;
     }
-    const double cost = burden(state, endpoint, need, service) +
+    const double cost = burden(state, endpoint, granted, need, service) +
                         kSpread * spread(id, state.random);
     if (!best.empty() && cost >= least) continue;
     best = id;
@@ -129,7 +155,24 @@
   endpoint.losses = 0;
 }
 
+void note_break(EndpointState& endpoint, Millis now) {
+  endpoint.own.breaks = breaks_at(endpoint, now) + 1;
+  endpoint.breaks_noted = now;
+}
+
+double breaks_at(const EndpointState& endpoint, Millis now) {
+  const auto age = double(std::max<Millis>(0, now - endpoint.breaks_noted));
+  return endpoint.own.breaks * std::exp2(-age / kBreakHalfLife);
+}
+
+double most_memory(std::uint32_t rank) {
+  constexpr double kMostMemoryUrgent = 1.0;
+  constexpr double kMostMemory = 0.92;
+  return rank == 0 ? kMostMemoryUrgent : kMostMemory;
+}
+
 void note_unreachable(EndpointState& endpoint, Millis now) {
+  note_break(endpoint, now);
   const std::uint32_t doublings =
       std::min(endpoint.losses, kMostEjectionDoublings);
   endpoint.ejected_until = now + (kFirstEjection << doublings);
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -45,6 +45,16 @@
 // Notes how an answer of an endpoint went.
 void note_answer(EndpointState& endpoint, bool failed, Millis now);
 
+// Notes a broken answer or a failed connection, which peers hear of.
+void note_break(EndpointState& endpoint, Millis now);
+
+// Returns the decayed number of recent breaks.
+double breaks_at(const EndpointState& endpoint, Millis now);
+
+// Returns the most that may be projected in use of an engine's memory when a
+// request of `rank` is placed.
+double most_memory(std::uint32_t rank);
+
 // Notes that an endpoint could not be connected to, which ejects it.
 void note_unreachable(EndpointState& endpoint, Millis now);
 
--- /dev/null
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -0,0 +1,113 @@
+// Room at engines. One process of a cell keeps it, so that requests of many
+// processes do not choose the same engine from views that lag. The keeper's
+// answers are advice: a process that hears none places by its own view.
+
+#include <algorithm>
+
+#include "libperidotreach/routing/endpoint_choice.h"
+#include "libperidotreach/routing/peer_view.h"
+#include "libperidotreach/routing/routing_steps.h"
+
+namespace peridotreach {
+namespace {
+
+// Time that an endpoint needs to answer a request within its objective.
+constexpr Millis kTimeToFirstEvent = 600;
+
+// Silence of the keeper after which a request is placed by the own view.
+constexpr Millis kKeeperSilence = 50;
+
+// Interval at which room is asked for again while there is none.
+constexpr Millis kAskInterval = 60;
+
+// Burden of an engine in another zone's cell, which another process keeps.
+constexpr double kOtherCellBurden = 0.25;
+
+// Time until a grant shows in the other's own account of its use.
+constexpr Millis kGrantLife = 350;
+
+Millis longest_wait(const RequestState& request) {
+  return request.arrived + request.route.objective - kTimeToFirstEvent;
+}
+
+EndpointNeed need_of(const RoutingState& state, const RoomNeed& room) {
+  EndpointNeed need;
+  if (state.peers.size() > kMostPeersOfOneCell) {
+    need.other_zone_burden = kOtherCellBurden;
+  }
+  need.service = room.service;
+  need.tokens = room.tokens;
+  need.zone = room.zone;
+  need.most_memory = most_memory(room.rank);
+  return need;
+}
+
+RoomNeed room_of(const RoutingState& state, const RequestState& request) {
+  return {request.service, request.projected_tokens,
+          request.facts.prompt_tokens, request.rank, state.self.zone};
+}
+
+void ask_room(const RoutingContext& context, std::uint64_t key,
+              RequestState& request) {
+  request.room_asked = context.state.now;
+  context.effects.push_back(AskRoom{key, room_of(context.state, request)});
+}
+
+}  // namespace
+
+bool seek_room(const RoutingContext& context, std::uint64_t key,
+               RequestState& request) {
+  const Millis now = context.state.now;
+  const bool may_wait = request.route.kind == CallKind::kStream &&
+                        request.sent == 0 && request.attempt == 0 &&
+                        now < longest_wait(request);
+  if (!may_wait) return false;
+  if (request.waits_until == 0) {
+    request.waits_until = longest_wait(request);
+    request.room_heard = now;
+    ask_room(context, key, request);
+    return true;
+  }
+  if (now - request.room_heard > kKeeperSilence &&
+      request.room_asked > request.room_heard) {
+    const EndpointNeed need =
+        need_of(context.state, room_of(context.state, request));
+    return choose_endpoint(context.state, need).empty();
+  }
+  if (now - request.room_asked >= kAskInterval) {
+    ask_room(context, key, request);
+  }
+  return true;
+}
+
+void on_room_asked(const RoutingContext& context, const RoomAsked& event) {
+  RoutingState& state = context.state;
+  const std::string endpoint =
+      choose_endpoint(state, need_of(state, event.need));
+  context.effects.push_back(AnswerRoom{event.peer, event.request, endpoint});
+  // What runs here is booked by this process itself.
+  if (endpoint.empty() || event.peer == state.self.vm) return;
+  state.granted.push_back({endpoint, event.need.tokens,
+                           event.need.unread_tokens, state.now + kGrantLife});
+}
+
+void on_room_answered(const RoutingContext& context,
+                      const RoomAnswered& event) {
+  RequestState* request = find_request(context, event.request);
+  if (request == nullptr || request->waits_until == 0) return;
+  request->room_heard = context.state.now;
+  if (event.endpoint.empty()) {
+    record(context, "waits_for_room", event.request,
+           {{"tokens", std::to_string(request->projected_tokens)},
+            {"rank", std::to_string(request->rank)}});
+    return;
+  }
+  const EndpointState* endpoint = find_endpoint(context, event.endpoint);
+  const bool fits =
+      endpoint != nullptr && takes_new_work(*endpoint, context.state.now);
+  if (!fits) return;
+  request->waits_until = 0;
+  start_attempt(context, event.request, *request, event.endpoint, {});
+}
+
+}  // namespace peridotreach
--- a/src/libperidotreach/routing/peer_view.cc
+++ b/src/libperidotreach/routing/peer_view.cc
@@ -65,6 +65,24 @@
   return true;
 }
 
+std::string room_keeper(const PeerView& view, const PeerRecord& self,
+                        const std::string& service, Millis now) {
+  const bool is_one_cell = view.peers.size() <= kMostPeersOfOneCell;
+  const std::string subject =
+      "room/" + service + (is_one_cell ? "" : "/" + self.zone);
+  std::string keeper = self.vm;
+  std::uint64_t most = weight_of(self.vm, subject);
+  for (const auto& [vm, peer] : view.peers) {
+    if (!is_alive(peer, now) || peer.stopping || !peer.ready) continue;
+    if (!is_one_cell && peer.record.zone != self.zone) continue;
+    const std::uint64_t theirs = weight_of(vm, subject);
+    if (theirs <= most) continue;
+    most = theirs;
+    keeper = vm;
+  }
+  return keeper;
+}
+
 std::string turn_keeper(const PeerView& view, const std::string& self,
                         const std::string& endpoint, Millis now) {
   std::string keeper = self;
--- a/src/libperidotreach/routing/peer_view.h
+++ b/src/libperidotreach/routing/peer_view.h
@@ -4,6 +4,7 @@
 // view freezes while the store is away, and what peers tell each other decides
 // who is alive.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,6 +28,9 @@
 // Silence after which a peer is no longer given to callers: three heartbeats.
 inline constexpr Millis kPeerSilence = 2500;
 
+// Peers up to which a fleet is one cell; beyond, each zone is one.
+inline constexpr std::size_t kMostPeersOfOneCell = 12;
+
 // Silence after which an unlisted peer is forgotten.
 inline constexpr Millis kPeerMemory = 20 * kSecond;
 
@@ -72,6 +76,11 @@
 // Returns whether a peer counts as alive.
 bool is_alive(const PeerState& peer, Millis now);
 
+// Returns the VM that keeps the room of `service` for the cell of `self`: a
+// small fleet is one cell, in a large one each availability zone is.
+std::string room_keeper(const PeerView& view, const PeerRecord& self,
+                        const std::string& service, Millis now);
+
 // Returns the VM that keeps the turns at `endpoint`: every process finds the
 // same one by rendezvous hashing as long as their views agree.
 std::string turn_keeper(const PeerView& view, const std::string& self,
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -56,30 +56,6 @@
   return request.deadline - state.now < kLeastTimeLeft;
 }
 
-// The largest share of an engine's memory that may be projected in use when a
-// request is placed. The rest is kept for the most urgent rank.
-double most_memory(const RequestState& request) {
-  constexpr double kMostMemoryUrgent = 1.0;
-  constexpr double kMostMemory = 0.92;
-  return request.rank == 0 ? kMostMemoryUrgent : kMostMemory;
-}
-
-// Returns until when a request may wait here for room: an endpoint still has
-// time to answer it within its objective.
-Millis longest_wait(const RequestState& request) {
-  constexpr Millis kTimeToFirstEvent = 600;
-  return request.arrived + request.route.objective - kTimeToFirstEvent;
-}
-
-void wait_for_room(const RoutingContext& context, std::uint64_t key,
-                   RequestState& request) {
-  if (request.waits_until != 0) return;
-  request.waits_until = longest_wait(request);
-  record(context, "waits_for_room", key,
-         {{"tokens", std::to_string(request.projected_tokens)},
-          {"rank", std::to_string(request.rank)}});
-}
-
 // Sends the request to the best endpoint, or refuses it truthfully: no byte of
 // it may have reached an endpoint that did not say that it did not run it.
 void place(const RoutingContext& context, std::uint64_t key,
@@ -88,19 +64,8 @@
   need.service = request.service;
   need.tokens = request.projected_tokens;
   need.except.insert(except);
-  const bool may_wait = request.route.kind == CallKind::kStream &&
-                        request.sent == 0 &&
-                        context.state.now < longest_wait(request);
-  if (may_wait) need.most_memory = most_memory(request);
-  std::string chosen = choose_endpoint(context.state, need);
-  if (chosen.empty() && may_wait) {
-    need.most_memory = kAnyMemory;
-    const bool has_endpoint = !choose_endpoint(context.state, need).empty();
-    if (has_endpoint) {
-      wait_for_room(context, key, request);
-      return;
-    }
-  }
+  if (seek_room(context, key, request)) return;
+  const std::string chosen = choose_endpoint(context.state, need);
   request.waits_until = 0;
   if (chosen.empty()) {
     refuse(context, key, 503, spread_retry_after(context.state), "no_endpoint");
@@ -206,6 +171,9 @@
   const bool failed =
       event.end == AttemptEnd::kBroken || event.status >= kFirstServerError;
   note_answer(*endpoint, failed, context.state.now);
+  if (event.end == AttemptEnd::kBroken && event.status == 0) {
+    note_break(*endpoint, context.state.now);
+  }
 }
 
 }  // namespace
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "libperidotreach/routing/routing_event.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -98,6 +99,19 @@
   std::string endpoint;
 };
 
+// Asks the keeper of room where a request may run.
+struct AskRoom {
+  std::uint64_t request = 0;
+  RoomNeed need;
+};
+
+// Answers a process that asked for room.
+struct AnswerRoom {
+  std::string peer;
+  std::uint64_t request = 0;
+  std::string endpoint;
+};
+
 // Frees a copy that is not used, at both ends.
 struct FreeCopy {
   std::string address;
@@ -121,6 +135,6 @@
 using RoutingEffect =
     std::variant<StartAttempt, DropAttempt, DeliverAnswer, RelayStream,
                  FinishStream, AnswerCaller, BreakOff, CopyGeneration, AskTurn,
-                 EndTurn, FreeCopy, RecordDecision>;
+                 EndTurn, AskRoom, AnswerRoom, FreeCopy, RecordDecision>;
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -136,6 +136,30 @@
   std::uint64_t request = 0;
 };
 
+// What a generation needs of an engine, as the keeper of its room is told.
+struct RoomNeed {
+  std::string service;
+  std::uint64_t tokens = 0;
+  std::uint64_t unread_tokens = 0;
+  std::uint32_t rank = 0;
+  std::string zone;
+
+  bool operator==(const RoomNeed&) const = default;
+};
+
+// A process asks this one, which keeps the room, where a request may run.
+struct RoomAsked {
+  std::string peer;
+  std::uint64_t request = 0;
+  RoomNeed need;
+};
+
+// The keeper's answer; without an endpoint there is no room yet.
+struct RoomAnswered {
+  std::uint64_t request = 0;
+  std::string endpoint;
+};
+
 // Use of one endpoint by one process.
 struct EndpointUse {
   std::string endpoint;
@@ -146,6 +170,8 @@
   std::uint64_t unread_tokens = 0;
   // Copies of memory that are on their way to it.
   std::uint32_t copies = 0;
+  // Recent broken answers and failed connections, decaying.
+  double breaks = 0;
 
   bool operator==(const EndpointUse&) const = default;
 };
@@ -172,8 +198,8 @@
   std::uint64_t random = 0;
   std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, RequestArrived,
                CallerLeft, AttemptEnded, StreamOpened, StreamEventArrived,
-               CopyAnswered, TurnGranted, TurnQueued, PeerUseArrived, PeerLost,
-               RoutingTicked>
+               CopyAnswered, TurnGranted, TurnQueued, RoomAsked, RoomAnswered,
+               PeerUseArrived, PeerLost, RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -94,6 +94,14 @@
   if (request != nullptr) request->move.heard = context.state.now;
 }
 
+void apply(const RoutingContext& context, const RoomAsked& event) {
+  on_room_asked(context, event);
+}
+
+void apply(const RoutingContext& context, const RoomAnswered& event) {
+  on_room_answered(context, event);
+}
+
 // Recomputes what peers use of the endpoints named in `uses`.
 void sum_peers(RoutingState& state,
                const std::map<std::string, EndpointUse>& uses) {
@@ -109,6 +117,7 @@
       sum.tokens += use->second.tokens;
       sum.unread_tokens += use->second.unread_tokens;
       sum.copies += use->second.copies;
+      sum.breaks += use->second.breaks;
     }
   }
 }
@@ -144,6 +153,9 @@
   place_waiting_requests(context);
   plan_moves(context);
   expire_suspects(state.suspects, state.now);
+  std::erase_if(state.granted, [&](const GrantedRoom& room) {
+    return room.until <= state.now;
+  });
   std::erase_if(state.endpoints, [&](const auto& entry) {
     const EndpointState& endpoint = entry.second;
     return !endpoint.listed && endpoint.own.running == 0 &&
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libperidotreach/quarantine.h"
 #include "libperidotreach/routing/manifest.h"
@@ -35,6 +36,8 @@
   // Failures among recent answers, from 0 to 1, decaying.
   double failure_share = 0;
   Millis failure_noted = 0;
+  // When `own.breaks` was last brought up to date.
+  Millis breaks_noted = 0;
   // Connections that failed in a row.
   std::uint32_t losses = 0;
   Millis ejected_until = 0;
@@ -94,6 +97,9 @@
   std::uint32_t attempt = 0;
   // It waits for room until this time; 0 if it does not wait.
   Millis waits_until = 0;
+  // When room was asked for last, and when the keeper answered last.
+  Millis room_asked = 0;
+  Millis room_heard = 0;
   // Attempts of which a byte may have reached an endpoint.
   std::uint32_t sent = 0;
   std::uint32_t connect_failures = 0;
@@ -110,6 +116,17 @@
   bool operator==(const RequestState&) const = default;
 };
 
+// Room that this process has granted to another one and that the other's use
+// may not show yet.
+struct GrantedRoom {
+  std::string endpoint;
+  std::uint64_t tokens = 0;
+  std::uint64_t unread_tokens = 0;
+  Millis until = 0;
+
+  bool operator==(const GrantedRoom&) const = default;
+};
+
 // Everything the reducer knows.
 struct RoutingState {
   RoutingSelf self;
@@ -118,6 +135,7 @@
   std::optional<Manifest> manifest;
   std::map<std::string, EndpointState> endpoints;
   std::map<std::uint64_t, RequestState> requests;
+  std::vector<GrantedRoom> granted;
   std::map<std::string, RetryBudget> budgets;
   std::map<std::string, std::map<std::string, EndpointUse>> peers;
   // Fingerprints in flight at deaths, here and as peers told.
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -64,6 +64,14 @@
 void end_overdue_requests(const RoutingContext& context);
 void place_waiting_requests(const RoutingContext& context);
 
+// Room at engines (engine_room.cc).
+void on_room_asked(const RoutingContext& context, const RoomAsked& event);
+void on_room_answered(const RoutingContext& context, const RoomAnswered& event);
+// Finds an endpoint for a stream, or has it wait for room. Returns whether it
+// waits or is on its way.
+bool seek_room(const RoutingContext& context, std::uint64_t key,
+               RequestState& request);
+
 // Moves (generation_moves.cc).
 void plan_moves(const RoutingContext& context);
 void on_turn_granted(const RoutingContext& context, const TurnGranted& event);
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -11,6 +11,9 @@
 namespace peridotreach {
 namespace {
 
+// Breaks are told in hundredths.
+constexpr double kHundredths = 100.0;
+
 // Interval of heartbeats while nothing changes.
 constexpr Millis kHeartbeat = 800;
 
@@ -87,6 +90,7 @@
     cell.set_tokens(use.tokens);
     cell.set_unread_tokens(use.unread_tokens);
     cell.set_copies(use.copies);
+    cell.set_breaks(static_cast<std::uint32_t>(use.breaks * kHundredths));
   }
   for (const auto& [fingerprint, deaths] : own.suspects) {
     proto::SuspectCell& cell = *digest.add_suspects();
@@ -215,6 +219,49 @@
   }
 }
 
+void PeerExchange::ask_room(const AskRoom& ask, Millis now) {
+  const std::string keeper = room_keeper(view_, self_, ask.need.service, now);
+  if (keeper == self_.vm) {
+    handlers_.on_room_asked(RoomAsked{self_.vm, ask.request, ask.need});
+    return;
+  }
+  proto::Envelope message = envelope();
+  proto::RoomMessage& room = *message.mutable_room();
+  room.set_request(ask.request);
+  room.set_service(ask.need.service);
+  room.set_tokens(ask.need.tokens);
+  room.set_unread_tokens(ask.need.unread_tokens);
+  room.set_rank(ask.need.rank);
+  room.set_zone(ask.need.zone);
+  send(view_.peers.at(keeper).record.link, message);
+}
+
+void PeerExchange::answer_room(const AnswerRoom& answer) {
+  if (answer.peer == self_.vm) {
+    handlers_.on_room_answered({answer.request, answer.endpoint});
+    return;
+  }
+  const auto peer = view_.peers.find(answer.peer);
+  if (peer == view_.peers.end()) return;
+  proto::Envelope message = envelope();
+  proto::RoomMessage& room = *message.mutable_room();
+  room.set_is_answer(true);
+  room.set_request(answer.request);
+  room.set_endpoint(answer.endpoint);
+  send(peer->second.record.link, message);
+}
+
+void PeerExchange::take_room(const std::string& vm,
+                             const proto::RoomMessage& room) {
+  if (room.is_answer()) {
+    handlers_.on_room_answered({room.request(), room.endpoint()});
+    return;
+  }
+  const RoomNeed need{room.service(), room.tokens(), room.unread_tokens(),
+                      room.rank(), room.zone()};
+  handlers_.on_room_asked(RoomAsked{vm, room.request(), need});
+}
+
 void PeerExchange::broadcast(const OwnDigest& own, Millis now) {
   const proto::Envelope message = digest_of(own);
   bool any_heard = false;
@@ -266,7 +313,8 @@
   use.peer = record.vm;
   for (const proto::EndpointUseCell& cell : digest.uses()) {
     use.uses.push_back({cell.endpoint(), cell.running(), cell.tokens(),
-                        cell.unread_tokens(), cell.copies()});
+                        cell.unread_tokens(), cell.copies(),
+                        cell.breaks() / kHundredths});
   }
   for (const proto::SuspectCell& cell : digest.suspects()) {
     use.suspects.emplace_back(cell.fingerprint(), cell.deaths());
@@ -369,6 +417,10 @@
     answer_turn(message.vm(), message.turn(), now);
     return;
   }
+  if (message.has_room()) {
+    take_room(message.vm(), message.room());
+    return;
+  }
   if (message.has_change()) {
     const auto peer = view_.peers.find(message.vm());
     if (peer == view_.peers.end()) return;
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -20,6 +20,7 @@
 namespace peridotreach {
 
 namespace proto {
+class RoomMessage;
 class RoutingDigest;
 class TableChange;
 class TurnMessage;
@@ -46,6 +47,8 @@
   std::function<void(const std::string& vm)> on_lost;
   std::function<void(const TurnGranted&)> on_turn;
   std::function<void(const TurnQueued&)> on_queued;
+  std::function<void(const RoomAsked&)> on_room_asked;
+  std::function<void(const RoomAnswered&)> on_room_answered;
   std::function<void(const std::string& table, SharedTableState)> on_table;
   std::function<void(const std::string& table, const std::string& key,
                      const std::string* value, std::uint64_t revision)>
@@ -91,6 +94,10 @@
   void ask_turn(const AskTurn& ask, Millis now);
   void end_turn(const EndTurn& end, Millis now);
 
+  // Asks the keeper of room, or answers a process that asked this one.
+  void ask_room(const AskRoom& ask, Millis now);
+  void answer_room(const AnswerRoom& answer);
+
   PeerView& view() { return view_; }
   const PeerView& view() const { return view_; }
   const PeerRecord& self() const { return self_; }
@@ -104,6 +111,7 @@
   void send(const std::string& link, const proto::Envelope& message);
   void answer_turn(const std::string& vm, const proto::TurnMessage& turn,
                    Millis now);
+  void take_room(const std::string& vm, const proto::RoomMessage& room);
   void tell_granted(const GrantedTurn& granted);
   void send_turn(const std::string& vm, const proto::TurnMessage& turn);
   void push_changes(bool reads_store, Millis now);
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -1,8 +1,10 @@
 #include "peridot-router/router_node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include "libperidotreach/routing/endpoint_choice.h"
 #include "peridot-router/caller_session.h"
 #include "runtime/clock.h"
 #include "runtime/http_server.h"
@@ -30,6 +32,9 @@
 
 constexpr Millis kFreeTimeout = kSecond;
 
+// Breaks below this are not told to peers.
+constexpr double kLeastToldBreaks = 0.25;
+
 std::string place_of(const HttpTarget& target) {
   return target.address + ":" + std::to_string(target.port);
 }
@@ -60,6 +65,8 @@
                  [this](const std::string& vm) { post(PeerLost{vm}); },
                  [this](const TurnGranted& turn) { post(turn); },
                  [this](const TurnQueued& turn) { post(turn); },
+                 [this](const RoomAsked& room) { post(room); },
+                 [this](const RoomAnswered& room) { post(room); },
                  [this](const std::string& table, SharedTableState state) {
                    replace(table, std::move(state));
                  },
@@ -151,8 +158,14 @@
   own.reads_store = reads_store_;
   for (const auto& [id, endpoint] : state_.endpoints) {
     const EndpointUse& use = endpoint.own;
-    if (use.running == 0 && use.copies == 0) continue;
-    own.uses.push_back(endpoint.own);
+    const double breaks = breaks_at(endpoint, state_.now);
+    const bool is_used =
+        use.running > 0 || use.copies > 0 || breaks > kLeastToldBreaks;
+    if (!is_used) continue;
+    own.uses.push_back(use);
+    // Coarse, so that decay alone does not make a digest.
+    own.uses.back().breaks =
+        std::floor(breaks / kLeastToldBreaks) * kLeastToldBreaks;
   }
   for (const auto& [fingerprint, suspect] : state_.suspects.suspects) {
     own.suspects.emplace_back(fingerprint, suspect.deaths);
@@ -418,6 +431,14 @@
   peers_.end_turn(effect, monotonic_now());
 }
 
+void RouterNode::perform(const AskRoom& effect) {
+  peers_.ask_room(effect, monotonic_now());
+}
+
+void RouterNode::perform(const AnswerRoom& effect) {
+  peers_.answer_room(effect);
+}
+
 void RouterNode::perform(const FreeCopy& effect) {
   co_spawn(io_, free_copy(effect), asio::detached);
 }
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -85,6 +85,8 @@
   void perform(const CopyGeneration& effect);
   void perform(const AskTurn& effect);
   void perform(const EndTurn& effect);
+  void perform(const AskRoom& effect);
+  void perform(const AnswerRoom& effect);
   void perform(const FreeCopy& effect);
   void perform(const RecordDecision& effect);
 
