--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -165,10 +165,12 @@
   return endpoint.own.breaks * std::exp2(-age / kBreakHalfLife);
 }
 
-double most_memory(std::uint32_t rank) {
-  constexpr double kMostMemoryUrgent = 1.0;
-  constexpr double kMostMemory = 0.92;
-  return rank == 0 ? kMostMemoryUrgent : kMostMemory;
+double most_memory(std::uint32_t rank, bool is_late) {
+  constexpr double kMostMemoryUrgent = 1.05;
+  constexpr double kMostMemory = 0.97;
+  constexpr double kLateShare = 0.87;
+  const double most = rank == 0 ? kMostMemoryUrgent : kMostMemory;
+  return is_late ? kLateShare * most : most;
 }
 
 void note_unreachable(EndpointState& endpoint, Millis now) {
--- a/src/libperidotreach/routing/engine_room.cc
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -20,14 +20,29 @@
 // Interval at which room is asked for again while there is none.
 constexpr Millis kAskInterval = 60;
 
+// When a caller may come back after it has waited for room in vain.
+constexpr Millis kNoRoomRetryAfter = kSecond;
+
 // Burden of an engine in another zone's cell, which another process keeps.
 constexpr double kOtherCellBurden = 0.25;
 
 // Time until a grant shows in the other's own account of its use.
 constexpr Millis kGrantLife = 350;
 
+// Objectives that callers wait for a first event; beyond, a request that is
+// still without room is refused.
+constexpr double kLongestWait = 3.6;
+
 Millis longest_wait(const RequestState& request) {
-  return request.arrived + request.route.objective - kTimeToFirstEvent;
+  const Millis patience = static_cast<Millis>(
+      kLongestWait * static_cast<double>(request.route.objective));
+  return std::min(request.arrived + patience,
+                  request.deadline - kTimeToFirstEvent);
+}
+
+bool is_late(const RoutingState& state, const RequestState& request) {
+  return state.now >
+         request.arrived + request.route.objective - kTimeToFirstEvent;
 }
 
 EndpointNeed need_of(const RoutingState& state, const RoomNeed& room) {
@@ -38,13 +53,14 @@
   need.service = room.service;
   need.tokens = room.tokens;
   need.zone = room.zone;
-  need.most_memory = most_memory(room.rank);
+  need.most_memory = most_memory(room.rank, room.is_late);
   return need;
 }
 
 RoomNeed room_of(const RoutingState& state, const RequestState& request) {
-  return {request.service, request.projected_tokens,
-          request.facts.prompt_tokens, request.rank, state.self.zone};
+  return {
+      request.service, request.projected_tokens, request.facts.prompt_tokens,
+      request.rank,    state.self.zone,          is_late(state, request)};
 }
 
 void ask_room(const RoutingContext& context, std::uint64_t key,
@@ -59,9 +75,12 @@
                RequestState& request) {
   const Millis now = context.state.now;
   const bool may_wait = request.route.kind == CallKind::kStream &&
-                        request.sent == 0 && request.attempt == 0 &&
-                        now < longest_wait(request);
+                        request.sent == 0 && request.attempt == 0;
   if (!may_wait) return false;
+  if (now >= longest_wait(request)) {
+    refuse(context, key, 503, kNoRoomRetryAfter, "no_room");
+    return true;
+  }
   if (request.waits_until == 0) {
     request.waits_until = longest_wait(request);
     request.room_heard = now;
@@ -97,9 +116,12 @@
   if (request == nullptr || request->waits_until == 0) return;
   request->room_heard = context.state.now;
   if (event.endpoint.empty()) {
-    record(context, "waits_for_room", event.request,
-           {{"tokens", std::to_string(request->projected_tokens)},
-            {"rank", std::to_string(request->rank)}});
+    if (!request->told_waiting) {
+      record(context, "waits_for_room", event.request,
+             {{"tokens", std::to_string(request->projected_tokens)},
+              {"rank", std::to_string(request->rank)}});
+    }
+    request->told_waiting = true;
     return;
   }
   const EndpointState* endpoint = find_endpoint(context, event.endpoint);
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -143,6 +143,8 @@
   std::uint64_t unread_tokens = 0;
   std::uint32_t rank = 0;
   std::string zone;
+  // Its answer would be late already; it takes what others leave.
+  bool is_late = false;
 
   bool operator==(const RoomNeed&) const = default;
 };
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -100,6 +100,7 @@
   // When room was asked for last, and when the keeper answered last.
   Millis room_asked = 0;
   Millis room_heard = 0;
+  bool told_waiting = false;
   // Attempts of which a byte may have reached an endpoint.
   std::uint32_t sent = 0;
   std::uint32_t connect_failures = 0;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -233,6 +233,7 @@
   room.set_unread_tokens(ask.need.unread_tokens);
   room.set_rank(ask.need.rank);
   room.set_zone(ask.need.zone);
+  room.set_is_late(ask.need.is_late);
   send(view_.peers.at(keeper).record.link, message);
 }
 
@@ -258,7 +259,7 @@
     return;
   }
   const RoomNeed need{room.service(), room.tokens(), room.unread_tokens(),
-                      room.rank(), room.zone()};
+                      room.rank(),    room.zone(),   room.is_late()};
   handlers_.on_room_asked(RoomAsked{vm, room.request(), need});
 }
 
