Learn lengths of outputs and book what overruns its expectation

Cause: hints spread by a factor of three either way; a generation that outlived its hint was booked too small for the rest of its life. Change: hint and learned length are weighed, overruns book more; engines of other cells only with much room.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -129,8 +129,13 @@
     if (!takes_new_work(endpoint, state.now)) continue;
     const bool has_memory = service != nullptr && service->engine;
     const EndpointUse granted = granted_at(state, id);
-    if (has_memory && memory_share(endpoint, granted, *service->engine,
-                                   need.tokens) > need.most_memory) {
+    const bool elsewhere =
+        !need.zone.empty() && endpoint.entry.zone != need.zone;
+    const double most =
+        elsewhere ? std::min(need.most_memory, need.most_memory_elsewhere)
+                  : need.most_memory;
+    if (has_memory &&
+        memory_share(endpoint, granted, *service->engine, need.tokens) > most) {
       continue;
     }
     const double cost = burden(state, endpoint, granted, need, service) +
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -30,6 +30,8 @@
   double copy_burden = 0;
   // The largest share of an engine's memory that may be projected in use.
   double most_memory = kAnyMemory;
+  // The same for engines in other availability zones.
+  double most_memory_elsewhere = kAnyMemory;
 };
 
 // Returns the id of the best endpoint, empty if none takes new work.
--- a/src/libperidotreach/routing/engine_room.cc
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -26,6 +26,10 @@
 // Burden of an engine in another zone's cell, which another process keeps.
 constexpr double kOtherCellBurden = 0.25;
 
+// The largest share of memory projected in use at an engine of another cell:
+// its keeper grants room too, and its use is told late.
+constexpr double kMostMemoryElsewhere = 0.6;
+
 // Time until a grant shows in the other's own account of its use.
 constexpr Millis kGrantLife = 350;
 
@@ -49,6 +53,7 @@
   EndpointNeed need;
   if (state.peers.size() > kMostPeersOfOneCell) {
     need.other_zone_burden = kOtherCellBurden;
+    need.most_memory_elsewhere = kMostMemoryElsewhere;
   }
   need.service = room.service;
   need.tokens = room.tokens;
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -71,14 +71,12 @@
 bool ends_in_time(const RoutingState& state, const RequestState& request) {
   const EndpointState& endpoint = state.endpoints.at(request.endpoint);
   const Millis left = endpoint.leaving_since + kSureNotice - state.now;
-  const std::uint32_t per_event =
-      state.manifest->services.at(request.service).engine->tokens_per_event;
-  const auto produced = std::uint64_t{request.events} * per_event;
-  const std::uint64_t expected =
-      request.projected_tokens - request.facts.prompt_tokens;
+  const double produced = produced_tokens(state, request);
+  const auto expected =
+      double(request.projected_tokens - request.facts.prompt_tokens);
   if (request.events < 2 || produced >= expected) return false;
-  const double pace = double(state.now - request.opened) / double(produced);
-  return pace * double(expected - produced) < double(left);
+  const double pace = double(state.now - request.opened) / produced;
+  return pace * (expected - produced) < double(left);
 }
 
 bool wants_to_move(const RoutingState& state, const RequestState& request) {
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "libperidotreach/routing/endpoint_choice.h"
+#include "libperidotreach/routing/output_length.h"
 #include "libperidotreach/routing/routing_steps.h"
 
 namespace peridotreach {
@@ -23,9 +24,6 @@
 // Time left below which a further attempt is not worth sending.
 constexpr Millis kLeastTimeLeft = 30;
 
-// Output tokens expected where a caller gives no hint, as a share of the most.
-constexpr double kExpectedShare = 0.5;
-
 // Urgency ranges from 0 to 9 at the endpoint.
 constexpr std::uint32_t kLeastUrgent = 9;
 
@@ -33,15 +31,6 @@
   return kRetryAfter + static_cast<Millis>(state.random % kRetryAfterSpread);
 }
 
-std::uint64_t projected_tokens(const CallerRequest& facts) {
-  const double expected = facts.length_hint > 0
-                              ? double(facts.length_hint)
-                              : kExpectedShare * facts.most_output_tokens;
-  const double most = std::max<double>(1, facts.most_output_tokens);
-  return facts.prompt_tokens +
-         static_cast<std::uint64_t>(std::min(expected, most));
-}
-
 std::uint32_t deaths_of_request(const RoutingState& state,
                                 std::uint64_t fingerprint) {
   std::uint32_t deaths = deaths_of(state.suspects, fingerprint, state.now);
@@ -244,6 +233,15 @@
   context.state.requests.erase(key);
 }
 
+double produced_tokens(const RoutingState& state, const RequestState& request) {
+  const auto service = state.manifest->services.find(request.service);
+  const bool known = service != state.manifest->services.end() &&
+                     service->second.engine.has_value();
+  const std::uint32_t per_event =
+      known ? service->second.engine->tokens_per_event : 1;
+  return double(request.events) * per_event;
+}
+
 bool may_repeat(const RoutingContext& context, const std::string& service) {
   RoutingState& state = context.state;
   return take_repeat(state.budgets[service], state.self.retries,
@@ -276,6 +274,7 @@
           {"attempt", std::to_string(request.attempt)},
           {"manifest", std::to_string(state.manifest->version)},
           {"tokens", std::to_string(request.projected_tokens)},
+          {"prompt", std::to_string(request.facts.prompt_tokens)},
           {"endpoint_tokens",
            std::to_string(target.own.tokens + target.peers.tokens)},
           {"endpoint_running",
@@ -327,7 +326,9 @@
   const Millis patience = facts.patience > 0 ? facts.patience : route->timeout;
   request.deadline = state.now + std::min(patience, route->timeout);
   if (route->kind == CallKind::kStream) {
-    request.projected_tokens = projected_tokens(facts);
+    request.projected_tokens =
+        facts.prompt_tokens +
+        static_cast<std::uint64_t>(expected_output(state.lengths, request));
   }
   note_request(state.budgets[request.service], state.self.retries, state.now);
   RequestState& kept =
@@ -375,6 +376,8 @@
               {"events", std::to_string(request->events)},
               {"ms", std::to_string(context.state.now - request->arrived)}});
       note_finished(context.state.suspects, request->facts.fingerprint);
+      learn_length(context.state.lengths, *request,
+                   produced_tokens(context.state, *request));
       context.effects.push_back(FinishStream{event.request});
       forget(context, event.request);
       return;
@@ -398,6 +401,26 @@
 
 }  // namespace
 
+namespace {
+
+// Books more memory for a generation that is longer than expected.
+void note_overrun(const RoutingContext& context, RequestState& request) {
+  const double produced = produced_tokens(context.state, request);
+  const auto held =
+      request.facts.prompt_tokens + static_cast<std::uint64_t>(produced);
+  if (held <= request.projected_tokens) return;
+  const auto expected = static_cast<std::uint64_t>(
+      expected_after_overrun(context.state.lengths, request, produced));
+  const std::uint64_t more =
+      request.facts.prompt_tokens + expected - request.projected_tokens;
+  request.projected_tokens += more;
+  if (EndpointState* endpoint = find_endpoint(context, request.endpoint)) {
+    endpoint->own.tokens += more;
+  }
+}
+
+}  // namespace
+
 void on_stream_opened(const RoutingContext& context,
                       const StreamOpened& event) {
   RequestState* request = find_request(context, event.request);
@@ -413,6 +436,7 @@
   if (request == nullptr || event.attempt != request->attempt) return;
   note_read(context, *request);
   request->events += 1;
+  note_overrun(context, *request);
   request->last_event = event.event_id;
 }
 
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "libperidotreach/length_model.h"
 #include "libperidotreach/quarantine.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/retry_budget.h"
@@ -137,6 +138,8 @@
   std::map<std::string, EndpointState> endpoints;
   std::map<std::uint64_t, RequestState> requests;
   std::vector<GrantedRoom> granted;
+  // Lengths of outputs by route and account.
+  LengthModel lengths;
   std::map<std::string, RetryBudget> budgets;
   std::map<std::string, std::map<std::string, EndpointUse>> peers;
   // Fingerprints in flight at deaths, here and as peers told.
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -46,6 +46,9 @@
 // Forgets the request and frees what it holds.
 void forget(const RoutingContext& context, std::uint64_t key);
 
+// Returns the output tokens that a generation has produced.
+double produced_tokens(const RoutingState& state, const RequestState& request);
+
 // Takes one repeat of the service from the budget.
 bool may_repeat(const RoutingContext& context, const std::string& service);
 
