Ask the keeper of room for targets of moves; free copies that go unused

Cause: targets of moves were chosen by views that lag, two fifths of all placements while engines leave; copies of abandoned moves kept their memory for five seconds. Urgent streams no longer wait past their objective, others are never refused for room.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -170,12 +170,14 @@
   return endpoint.own.breaks * std::exp2(-age / kBreakHalfLife);
 }
 
-double most_memory(std::uint32_t rank, bool is_late) {
+double most_memory(const RoomNeed& room) {
+  constexpr double kMostMemoryMoved = 1.1;
   constexpr double kMostMemoryUrgent = 1.05;
   constexpr double kMostMemory = 0.97;
   constexpr double kLateShare = 0.87;
-  const double most = rank == 0 ? kMostMemoryUrgent : kMostMemory;
-  return is_late ? kLateShare * most : most;
+  if (room.is_move) return kMostMemoryMoved;
+  const double most = room.rank == 0 ? kMostMemoryUrgent : kMostMemory;
+  return room.is_late ? kLateShare * most : most;
 }
 
 void note_unreachable(EndpointState& endpoint, Millis now) {
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -56,7 +56,7 @@
 // Returns the most that may be projected in use of an engine's memory when a
 // request of `rank` is placed. Room is kept for what is more urgent, and for
 // what can still be answered in time.
-double most_memory(std::uint32_t rank, bool is_late);
+double most_memory(const RoomNeed& room);
 
 // Notes that an endpoint could not be connected to, which ejects it.
 void note_unreachable(EndpointState& endpoint, Millis now);
--- a/src/libperidotreach/routing/engine_room.cc
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -15,14 +15,11 @@
 constexpr Millis kTimeToFirstEvent = 600;
 
 // Silence of the keeper after which a request is placed by the own view.
-constexpr Millis kKeeperSilence = 50;
+constexpr Millis kKeeperSilence = 120;
 
 // Interval at which room is asked for again while there is none.
 constexpr Millis kAskInterval = 60;
 
-// When a caller may come back after it has waited for room in vain.
-constexpr Millis kNoRoomRetryAfter = kSecond;
-
 // Burden of an engine in another zone's cell, which another process keeps.
 constexpr double kOtherCellBurden = 0.25;
 
@@ -30,16 +27,24 @@
 // its keeper grants room too, and its use is told late.
 constexpr double kMostMemoryElsewhere = 0.6;
 
+// Burden of a move's target in another zone, where a copy takes twice as long,
+// and of one whose link another copy is using.
+constexpr double kCopyZoneBurden = 0.25;
+constexpr double kOtherCopyBurden = 0.35;
+
 // Time until a grant shows in the other's own account of its use.
 constexpr Millis kGrantLife = 350;
 
-// Objectives that callers wait for a first event; beyond, a request that is
-// still without room is refused.
+// Objectives that a request waits for room before it goes to an endpoint all
+// the same; callers wait for four. Urgent ones go while they are in time.
 constexpr double kLongestWait = 3.6;
 
 Millis longest_wait(const RequestState& request) {
-  const Millis patience = static_cast<Millis>(
-      kLongestWait * static_cast<double>(request.route.objective));
+  const Millis objective = request.route.objective;
+  const Millis patience =
+      request.rank == 0
+          ? objective - kTimeToFirstEvent
+          : static_cast<Millis>(kLongestWait * static_cast<double>(objective));
   return std::min(request.arrived + patience,
                   request.deadline - kTimeToFirstEvent);
 }
@@ -49,6 +54,8 @@
          request.arrived + request.route.objective - kTimeToFirstEvent;
 }
 
+}  // namespace
+
 EndpointNeed need_of(const RoutingState& state, const RoomNeed& room) {
   EndpointNeed need;
   if (state.peers.size() > kMostPeersOfOneCell) {
@@ -58,10 +65,17 @@
   need.service = room.service;
   need.tokens = room.tokens;
   need.zone = room.zone;
-  need.most_memory = most_memory(room.rank, room.is_late);
+  need.most_memory = most_memory(room);
+  need.except.insert(room.except.begin(), room.except.end());
+  if (room.is_move) {
+    need.other_zone_burden = kCopyZoneBurden;
+    need.copy_burden = kOtherCopyBurden;
+  }
   return need;
 }
 
+namespace {
+
 RoomNeed room_of(const RoutingState& state, const RequestState& request) {
   return {
       request.service, request.projected_tokens, request.facts.prompt_tokens,
@@ -82,10 +96,7 @@
   const bool may_wait = request.route.kind == CallKind::kStream &&
                         request.sent == 0 && request.attempt == 0;
   if (!may_wait) return false;
-  if (now >= longest_wait(request)) {
-    refuse(context, key, 503, kNoRoomRetryAfter, "no_room");
-    return true;
-  }
+  if (now >= longest_wait(request)) return false;
   if (request.waits_until == 0) {
     request.waits_until = longest_wait(request);
     request.room_heard = now;
@@ -118,7 +129,12 @@
 void on_room_answered(const RoutingContext& context,
                       const RoomAnswered& event) {
   RequestState* request = find_request(context, event.request);
-  if (request == nullptr || request->waits_until == 0) return;
+  if (request == nullptr) return;
+  if (request->move.phase == MovePhase::kChoosing) {
+    on_target_chosen(context, event.request, *request, event.endpoint);
+    return;
+  }
+  if (request->waits_until == 0) return;
   request->room_heard = context.state.now;
   if (event.endpoint.empty()) {
     if (!request->told_waiting) {
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -21,11 +21,8 @@
 constexpr Millis kAskInterval = 80;
 constexpr Millis kTurnSilence = 200;
 
-// Burden of a target in another zone, where a copy takes twice as long.
-constexpr double kCopyZoneBurden = 0.25;
-
-// Burden of a target whose link another copy is using.
-constexpr double kOtherCopyBurden = 0.35;
+// Silence of the keeper of room after which a target is chosen by the own view.
+constexpr Millis kKeeperSilence = 60;
 
 // Time that an endpoint which leaves on short notice surely still serves.
 constexpr Millis kSureNotice = 1400;
@@ -104,23 +101,29 @@
   request.move.not_before = context.state.now + kMoveRetryPause;
 }
 
-// Copies to the endpoint with the most room among those that have not said
-// that they have none.
+RoomNeed room_of_move(const RoutingState& state, const RequestState& request) {
+  RoomNeed room;
+  room.service = request.service;
+  room.tokens = request.projected_tokens;
+  room.rank = request.rank;
+  room.zone = state.endpoints.at(request.endpoint).entry.zone;
+  room.is_move = true;
+  room.except = {request.move.full.begin(), request.move.full.end()};
+  room.except.push_back(request.endpoint);
+  return room;
+}
+
+// Asks for an endpoint with room among those that have not said that they
+// have none.
+void choose_target(const RoutingContext& context, std::uint64_t key,
+                   RequestState& request) {
+  request.move.phase = MovePhase::kChoosing;
+  request.move.choosing_since = context.state.now;
+  context.effects.push_back(AskRoom{key, room_of_move(context.state, request)});
+}
+
 void start_copy(const RoutingContext& context, std::uint64_t key,
-                RequestState& request) {
-  EndpointNeed need;
-  need.service = request.service;
-  need.tokens = request.projected_tokens;
-  need.except = request.move.full;
-  need.except.insert(request.endpoint);
-  need.zone = context.state.endpoints.at(request.endpoint).entry.zone;
-  need.other_zone_burden = kCopyZoneBurden;
-  need.copy_burden = kOtherCopyBurden;
-  const std::string target = choose_endpoint(context.state, need);
-  if (target.empty()) {
-    give_up_turn(context, key, request);
-    return;
-  }
+                RequestState& request, const std::string& target) {
   GenerationMove& move = request.move;
   move.phase = MovePhase::kCopying;
   move.target = target;
@@ -145,7 +148,7 @@
   move.booked = 0;
   if (status == kNoRoom && move.tries < kMostMoveTries) {
     move.full.insert(move.target);
-    start_copy(context, key, request);
+    choose_target(context, key, request);
     return;
   }
   give_up_turn(context, key, request);
@@ -206,6 +209,23 @@
 
 }  // namespace
 
+namespace {
+
+// Frees a copy that was not gone on from, at the source and, as that may be
+// gone, at the target.
+void free_copies(const RoutingContext& context, const RequestState& request) {
+  const GenerationMove& move = request.move;
+  if (!move.copied || move.phase == MovePhase::kResuming) return;
+  for (const std::string& id : {move.target, request.endpoint}) {
+    const EndpointState* endpoint = find_endpoint(context, id);
+    if (endpoint == nullptr) continue;
+    context.effects.push_back(
+        FreeCopy{endpoint->entry.address, endpoint->entry.port, move.handle});
+  }
+}
+
+}  // namespace
+
 void clear_move(const RoutingContext& context, std::uint64_t key,
                 RequestState& request) {
   GenerationMove& move = request.move;
@@ -213,23 +233,41 @@
     context.effects.push_back(EndTurn{key, request.endpoint});
   }
   if (move.booked > 0) unbook_copy(context, move.target, move.booked);
+  free_copies(context, request);
   GenerationMove cleared;
   cleared.tries = move.tries;
   cleared.full = std::move(move.full);
   move = std::move(cleared);
 }
 
+void on_target_chosen(const RoutingContext& context, std::uint64_t key,
+                      RequestState& request, const std::string& target) {
+  if (find_endpoint(context, target) == nullptr) {
+    give_up_turn(context, key, request);
+    return;
+  }
+  start_copy(context, key, request, target);
+}
+
 void plan_moves(const RoutingContext& context) {
   RoutingState& state = context.state;
   for (auto& [key, request] : state.requests) {
     if (request.move.phase == MovePhase::kWaiting) {
       if (state.now - request.move.heard > kTurnSilence) {
-        start_copy(context, key, request);
+        choose_target(context, key, request);
       } else if (state.now - request.move.asked >= kAskInterval) {
         ask_turn(context, key, request);
       }
       continue;
     }
+    const bool is_unheard =
+        request.move.phase == MovePhase::kChoosing &&
+        state.now - request.move.choosing_since > kKeeperSilence;
+    if (is_unheard) {
+      const EndpointNeed need = need_of(state, room_of_move(state, request));
+      on_target_chosen(context, key, request, choose_endpoint(state, need));
+      continue;
+    }
     if (!wants_to_move(state, request)) continue;
     ask_turn(context, key, request);
   }
@@ -242,7 +280,7 @@
                      request->endpoint == event.endpoint;
   if (waits) {
     request->move.has_turn = true;
-    start_copy(context, event.request, *request);
+    choose_target(context, event.request, *request);
     return;
   }
   const bool holds = request != nullptr && request->move.has_turn &&
@@ -268,6 +306,7 @@
       break;
     case MovePhase::kNone:
     case MovePhase::kWaiting:
+    case MovePhase::kChoosing:
     case MovePhase::kResuming:
       return;
   }
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -221,13 +221,6 @@
 void forget(const RoutingContext& context, std::uint64_t key) {
   RequestState* request = find_request(context, key);
   if (request == nullptr) return;
-  if (request->move.copied) {
-    if (const EndpointState* source =
-            find_endpoint(context, request->endpoint)) {
-      context.effects.push_back(FreeCopy{
-          source->entry.address, source->entry.port, request->move.handle});
-    }
-  }
   clear_move(context, key, *request);
   book(context, *request, "");
   context.state.requests.erase(key);
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -145,6 +145,9 @@
   std::string zone;
   // Its answer would be late already; it takes what others leave.
   bool is_late = false;
+  // It runs already and has to go on elsewhere than at `except`.
+  bool is_move = false;
+  std::vector<std::string> except;
 
   bool operator==(const RoomNeed&) const = default;
 };
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -54,6 +54,8 @@
   kNone,
   // Another generation is copied off the same endpoint first.
   kWaiting,
+  // The keeper of room is asked for a target.
+  kChoosing,
   // Memory is copied while the generation runs on.
   kCopying,
   // The generation stops and the rest is copied.
@@ -81,6 +83,8 @@
   Millis asked = 0;
   Millis heard = 0;
   bool has_turn = false;
+  // When a target was asked for.
+  Millis choosing_since = 0;
 
   bool operator==(const GenerationMove&) const = default;
 };
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/routing_effect.h"
 #include "libperidotreach/routing/routing_state.h"
 
@@ -70,6 +71,8 @@
 // Room at engines (engine_room.cc).
 void on_room_asked(const RoutingContext& context, const RoomAsked& event);
 void on_room_answered(const RoutingContext& context, const RoomAnswered& event);
+// Returns what to choose an endpoint by for `room`.
+EndpointNeed need_of(const RoutingState& state, const RoomNeed& room);
 // Finds an endpoint for a stream, or has it wait for room. Returns whether it
 // waits or is on its way.
 bool seek_room(const RoutingContext& context, std::uint64_t key,
@@ -78,6 +81,8 @@
 // Moves (generation_moves.cc).
 void plan_moves(const RoutingContext& context);
 void on_turn_granted(const RoutingContext& context, const TurnGranted& event);
+void on_target_chosen(const RoutingContext& context, std::uint64_t key,
+                      RequestState& request, const std::string& target);
 void on_copy_answered(const RoutingContext& context, const CopyAnswered& event);
 // Ends a move, whatever it has come to.
 void clear_move(const RoutingContext& context, std::uint64_t key,
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -234,6 +234,8 @@
   room.set_rank(ask.need.rank);
   room.set_zone(ask.need.zone);
   room.set_is_late(ask.need.is_late);
+  room.set_is_move(ask.need.is_move);
+  for (const std::string& id : ask.need.except) room.add_except(id);
   send(view_.peers.at(keeper).record.link, message);
 }
 
@@ -258,8 +260,10 @@
     handlers_.on_room_answered({room.request(), room.endpoint()});
     return;
   }
-  const RoomNeed need{room.service(), room.tokens(), room.unread_tokens(),
-                      room.rank(),    room.zone(),   room.is_late()};
+  RoomNeed need{
+      room.service(), room.tokens(),  room.unread_tokens(), room.rank(),
+      room.zone(),    room.is_late(), room.is_move(),       {}};
+  for (const std::string& id : room.except()) need.except.push_back(id);
   handlers_.on_room_asked(RoomAsked{vm, room.request(), need});
 }
 
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,9 +1,10 @@
 // Tests of the HTTP client against a server on loopback.
 
+#include "runtime/http_client.h"
+
 #include <catch2/catch.hpp>
 
 #include "runtime/clock.h"
-#include "runtime/http_client.h"
 #include "runtime/http_server.h"
 
 namespace peridotreach {
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -72,6 +72,11 @@
             writer.close()
 
     async def _answer(self, request, writer):
+        if request.target.startswith("/api/kv-handle/"):
+            self.book.memory.pop(request.target.rpartition("/")[2], None)
+            writer.write(encode("HTTP/1.1 200 OK", []))
+            await writer.drain()
+            return
         if request.target == "/api/kv-move":
             await self._copy(request, writer)
             return
