--- a/src/libperidotreach/routing/copy_turns.cc
+++ b/src/libperidotreach/routing/copy_turns.cc
@@ -44,7 +44,7 @@
   EndpointTurns& turns = found->second;
   std::erase(turns.waiting, turn);
   if (turns.holder != turn) return std::nullopt;
-  const auto next = grant_next(endpoint, turns, now);
+  auto next = grant_next(endpoint, turns, now);
   if (!next) book.endpoints.erase(found);
   return next;
 }
--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -65,9 +65,10 @@
 
 double memory_share(const EndpointState& endpoint, const EndpointUse& granted,
                     const EngineShape& engine, std::uint64_t tokens) {
-  const double capacity = std::max(1.0, double(engine.memory_tokens));
-  const auto held = double(endpoint.own.tokens + endpoint.peers.tokens +
-                           granted.tokens + tokens);
+  const double capacity =
+      std::max(1.0, static_cast<double>(engine.memory_tokens));
+  const auto held = static_cast<double>(
+      endpoint.own.tokens + endpoint.peers.tokens + granted.tokens + tokens);
   return held / capacity;
 }
 
@@ -78,19 +79,21 @@
 double burden(const RoutingState& state, const EndpointState& endpoint,
               const EndpointUse& granted, const EndpointNeed& need,
               const ServiceSpec* service) {
-  const double batch = double(endpoint.own.running + endpoint.peers.running +
-                              granted.running + 1) /
-                       slots_of(endpoint);
+  const double batch =
+      static_cast<double>(endpoint.own.running + endpoint.peers.running +
+                          granted.running + 1) /
+      slots_of(endpoint);
   double sum = batch;
   if (service != nullptr && service->engine && need.tokens > 0) {
-    const auto unread =
-        double(endpoint.own.unread_tokens + endpoint.peers.unread_tokens +
-               granted.unread_tokens);
+    const auto unread = static_cast<double>(endpoint.own.unread_tokens +
+                                            endpoint.peers.unread_tokens +
+                                            granted.unread_tokens);
     sum = kBatchBurden * batch + unread / kUnreadTokens +
           memory_burden(
               memory_share(endpoint, granted, *service->engine, need.tokens));
   }
-  sum += need.copy_burden * double(endpoint.own.copies + endpoint.peers.copies);
+  sum += need.copy_burden *
+         static_cast<double>(endpoint.own.copies + endpoint.peers.copies);
   sum += kBreakBurden * std::min(kMostBreaks, breaks_at(endpoint, state.now) +
                                                   endpoint.peers.breaks);
   sum += kFailureBurden * failure_share_at(endpoint, state.now);
@@ -104,7 +107,7 @@
 double spread(const std::string& id, std::uint64_t draw) {
   const std::uint64_t mixed =
       (std::hash<std::string>{}(id) ^ draw) * 0x9E3779B97F4A7C15ULL;
-  return double(mixed >> 11U) / double(1ULL << 53U);
+  return static_cast<double>(mixed >> 11U) / static_cast<double>(1ULL << 53U);
 }
 
 }  // namespace
@@ -148,7 +151,8 @@
 }
 
 double failure_share_at(const EndpointState& endpoint, Millis now) {
-  const auto age = double(std::max<Millis>(0, now - endpoint.failure_noted));
+  const auto age =
+      static_cast<double>(std::max<Millis>(0, now - endpoint.failure_noted));
   return endpoint.failure_share * std::exp2(-age / kFailureHalfLife);
 }
 
@@ -166,7 +170,8 @@
 }
 
 double breaks_at(const EndpointState& endpoint, Millis now) {
-  const auto age = double(std::max<Millis>(0, now - endpoint.breaks_noted));
+  const auto age =
+      static_cast<double>(std::max<Millis>(0, now - endpoint.breaks_noted));
   return endpoint.own.breaks * std::exp2(-age / kBreakHalfLife);
 }
 
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -69,11 +69,12 @@
   const EndpointState& endpoint = state.endpoints.at(request.endpoint);
   const Millis left = endpoint.leaving_since + kSureNotice - state.now;
   const double produced = produced_tokens(state, request);
-  const auto expected =
-      double(request.projected_tokens - request.facts.prompt_tokens);
+  const auto expected = static_cast<double>(request.projected_tokens -
+                                            request.facts.prompt_tokens);
   if (request.events < 2 || produced >= expected) return false;
-  const double pace = double(state.now - request.opened) / produced;
-  return pace * (expected - produced) < double(left);
+  const double pace =
+      static_cast<double>(state.now - request.opened) / produced;
+  return pace * (expected - produced) < static_cast<double>(left);
 }
 
 bool wants_to_move(const RoutingState& state, const RequestState& request) {
--- a/src/libperidotreach/routing/output_length.cc
+++ b/src/libperidotreach/routing/output_length.cc
@@ -32,7 +32,7 @@
 
 double bounded(const RequestState& request, double tokens) {
   const std::uint32_t most = request.facts.most_output_tokens;
-  return most == 0 ? tokens : std::min(tokens, double(most));
+  return most == 0 ? tokens : std::min(tokens, static_cast<double>(most));
 }
 
 }  // namespace
@@ -41,7 +41,7 @@
                        const RequestState& request) {
   const CallerRequest& facts = request.facts;
   const double hint = facts.length_hint > 0
-                          ? double(facts.length_hint)
+                          ? static_cast<double>(facts.length_hint)
                           : kExpectedShare * facts.most_output_tokens;
   if (!has_learned(lengths, request)) return bounded(request, hint);
   const double usual = mean_remaining(curve_of(lengths, request), 0);
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -232,7 +232,7 @@
                      service->second.engine.has_value();
   const std::uint32_t per_event =
       known ? service->second.engine->tokens_per_event : 1;
-  return double(request.events) * per_event;
+  return static_cast<double>(request.events) * per_event;
 }
 
 bool may_repeat(const RoutingContext& context, const std::string& service) {
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -442,7 +442,7 @@
       {{"table", message.table().name()},
        {"peer", message.vm()},
        {"revision", std::to_string(table.revision)}});
-  handlers_.on_table(message.table().name(), std::move(table));
+  handlers_.on_table(message.table().name(), table);
 }
 
 }  // namespace peridotreach
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -49,7 +49,8 @@
   std::function<void(const TurnQueued&)> on_queued;
   std::function<void(const RoomAsked&)> on_room_asked;
   std::function<void(const RoomAnswered&)> on_room_answered;
-  std::function<void(const std::string& table, SharedTableState)> on_table;
+  std::function<void(const std::string& table, const SharedTableState&)>
+      on_table;
   std::function<void(const std::string& table, const std::string& key,
                      const std::string* value, std::uint64_t revision)>
       on_change;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -59,24 +59,25 @@
       wire_(std::move(wire)),
       table_format_(std::move(tables)),
       state_(initial_routing_state(self_of(settings_))),
-      peers_(io, record_of(settings_, incarnation),
-             PeerHandlers{
-                 [this](const PeerUseArrived& use) { post(use); },
-                 [this](const std::string& vm) { post(PeerLost{vm}); },
-                 [this](const TurnGranted& turn) { post(turn); },
-                 [this](const TurnQueued& turn) { post(turn); },
-                 [this](const RoomAsked& room) { post(room); },
-                 [this](const RoomAnswered& room) { post(room); },
-                 [this](const std::string& table, SharedTableState state) {
-                   replace(table, std::move(state));
-                 },
-                 [this](const std::string& table, const std::string& key,
-                        const std::string* value, std::uint64_t revision) {
-                   apply_change(table, key, value, revision);
-                 },
-                 [this](const std::string& table) -> const SharedTableState& {
-                   return tables_[table];
-                 }}) {}
+      peers_(
+          io, record_of(settings_, incarnation),
+          PeerHandlers{
+              [this](const PeerUseArrived& use) { post(use); },
+              [this](const std::string& vm) { post(PeerLost{vm}); },
+              [this](const TurnGranted& turn) { post(turn); },
+              [this](const TurnQueued& turn) { post(turn); },
+              [this](const RoomAsked& room) { post(room); },
+              [this](const RoomAnswered& room) { post(room); },
+              [this](const std::string& table, const SharedTableState& state) {
+                replace(table, state);
+              },
+              [this](const std::string& table, const std::string& key,
+                     const std::string* value, std::uint64_t revision) {
+                apply_change(table, key, value, revision);
+              },
+              [this](const std::string& table) -> const SharedTableState& {
+                return tables_[table];
+              }}) {}
 
 RouterNode::~RouterNode() = default;
 
@@ -101,7 +102,7 @@
                  "choose a free port or stop its present holder"};
   }
   co_spawn(io_, accept_callers(), asio::detached);
-  const auto directory = start_http_server(
+  auto directory = start_http_server(
       io_, settings_.directory.address, settings_.directory.port, {},
       [this](HttpExchange& exchange) { return answer_address(exchange); });
   if (!ok(directory)) return directory;
@@ -224,11 +225,12 @@
 awaitable<void> RouterNode::answer_readiness(HttpExchange& exchange) {
   HttpResponse response;
   if (exchange.request().path == "/metrics") {
-    metrics_.set("requests_in_flight", double(exchanges_.size()));
-    metrics_.set("endpoints", double(state_.endpoints.size()));
-    metrics_.set("peers", double(peers_.view().peers.size()));
-    metrics_.set("manifest_version",
-                 state_.manifest ? double(state_.manifest->version) : 0);
+    metrics_.set("requests_in_flight", static_cast<double>(exchanges_.size()));
+    metrics_.set("endpoints", static_cast<double>(state_.endpoints.size()));
+    metrics_.set("peers", static_cast<double>(peers_.view().peers.size()));
+    metrics_.set(
+        "manifest_version",
+        state_.manifest ? static_cast<double>(state_.manifest->version) : 0);
     response = text_response(200, metrics_.text());
   } else {
     response = text_response(ready() ? 200 : 503, ready() ? "ready\n" : "\n");
@@ -261,8 +263,9 @@
       });
 }
 
-void RouterNode::replace(const std::string& table, SharedTableState state) {
-  replace_table(tables_[table], std::move(state),
+void RouterNode::replace(const std::string& table,
+                         const SharedTableState& state) {
+  replace_table(tables_[table], state,
                 [&](const std::string& changed, const std::string* now) {
                   on_item(table, changed, now);
                 });
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -52,7 +52,7 @@
   // The store's news. `value` is null if the item was removed.
   void change_item(const std::string& table, const std::string& key,
                    const std::string* value, std::uint64_t revision);
-  void replace(const std::string& table, SharedTableState state);
+  void replace(const std::string& table, const SharedTableState& state);
   // Whether calls to the store succeed.
   void set_reads_store(bool reads) { reads_store_ = reads; }
 
--- a/src/peridot-router/shared_table.cc
+++ b/src/peridot-router/shared_table.cc
@@ -20,7 +20,7 @@
   changed(key, value);
 }
 
-void replace_table(SharedTableState& table, SharedTableState newer,
+void replace_table(SharedTableState& table, const SharedTableState& newer,
                    const ItemChanged& changed) {
   if (newer.revision < table.revision) return;
   std::vector<std::string> removed;
--- a/src/peridot-router/shared_table.h
+++ b/src/peridot-router/shared_table.h
@@ -28,7 +28,7 @@
                  const ItemChanged& changed);
 
 // Takes a whole table unless it is older.
-void replace_table(SharedTableState& table, SharedTableState newer,
+void replace_table(SharedTableState& table, const SharedTableState& newer,
                    const ItemChanged& changed);
 
 }  // namespace peridotreach
