Remove what nothing reads; measure the first byte by kind and account

The decoded parts of prompts, the region, the mark of closing answers and a count of the link were not used by any decision. Tests of the parts' decoder go with the decoder.

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -111,6 +111,12 @@
   refuse(context, key, 502, -1, "endpoint_answer_broken");
 }
 
+FirstByte first_byte_of(const RoutingContext& context,
+                        const RequestState& request) {
+  return {request.route.kind, request.account,
+          context.state.now - request.arrived};
+}
+
 void deliver(const RoutingContext& context, std::uint64_t key,
              const RequestState& request, unsigned status) {
   record(context, "outcome", key,
@@ -118,7 +124,8 @@
           {"endpoint", request.endpoint},
           {"ms", std::to_string(context.state.now - request.arrived)}});
   note_finished(context.state.suspects, request.facts.fingerprint);
-  context.effects.push_back(DeliverAnswer{key, request.attempt});
+  context.effects.push_back(
+      DeliverAnswer{key, request.attempt, first_byte_of(context, request)});
   forget(context, key);
 }
 
@@ -418,9 +425,13 @@
                       const StreamOpened& event) {
   RequestState* request = find_request(context, event.request);
   if (request == nullptr || event.attempt != request->attempt) return;
-  if (!request->relaying) request->opened = context.state.now;
+  RelayStream relay{event.request, event.attempt, std::nullopt};
+  if (!request->relaying) {
+    request->opened = context.state.now;
+    relay.first_byte = first_byte_of(context, *request);
+  }
   request->relaying = true;
-  context.effects.push_back(RelayStream{event.request, event.attempt});
+  context.effects.push_back(std::move(relay));
 }
 
 void on_stream_event(const RoutingContext& context,
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -3,6 +3,7 @@
 // Effects of the routing reducer.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -46,16 +47,26 @@
   std::uint32_t attempt = 0;
 };
 
+// Time that a caller waited for the first byte of its answer.
+struct FirstByte {
+  CallKind kind = CallKind::kStream;
+  std::string account;
+  Millis waited = 0;
+};
+
 // Gives the caller the whole answer of an attempt.
 struct DeliverAnswer {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;
+  FirstByte first_byte;
 };
 
-// Starts to relay the events of an attempt to the caller.
+// Starts to relay the events of an attempt to the caller, or goes on after a
+// move, which has no first byte of its own.
 struct RelayStream {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;
+  std::optional<FirstByte> first_byte;
 };
 
 // Ends a relayed stream as complete.
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -15,14 +15,6 @@
 
 namespace peridotreach {
 
-// A part of a prompt that requests may share.
-struct PromptPart {
-  std::string id;
-  std::uint32_t tokens = 0;
-
-  bool operator==(const PromptPart&) const = default;
-};
-
 // A caller's request as it arrived, apart from its bytes.
 struct CallerRequest {
   std::string id;
@@ -37,7 +29,6 @@
   std::uint32_t most_output_tokens = 0;
   // The caller's guess of the output's length; 0 if it gives none.
   std::uint32_t length_hint = 0;
-  std::vector<PromptPart> prompt_parts;
   // Equal for requests that ask for the same thing.
   std::uint64_t fingerprint = 0;
 
--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -173,7 +173,7 @@
     if (const auto head = exchange->take_head()) {
       const bool stays = keep_alive && !node_.stopping();
       open = co_await write_head(*head, stays) &&
-             co_await relay_stream(*exchange, keep_alive) && stays;
+             co_await relay_stream(*exchange) && stays;
       break;
     }
     if (exchange->broken()) break;
@@ -184,9 +184,7 @@
   co_return open;
 }
 
-awaitable<bool> CallerSession::relay_stream(Exchange& exchange,
-                                            bool keep_alive) {
-  static_cast<void>(keep_alive);
+awaitable<bool> CallerSession::relay_stream(Exchange& exchange) {
   while (true) {
     co_await exchange.wait_changed();
     if (caller_gone_) co_return false;
--- a/src/peridot-router/caller_session.h
+++ b/src/peridot-router/caller_session.h
@@ -40,7 +40,7 @@
                                bool is_head);
   awaitable<bool> write_head(const CallerAnswer& head, bool keep_alive);
   awaitable<bool> write_chunk(std::string bytes, bool last);
-  awaitable<bool> relay_stream(Exchange& exchange, bool keep_alive);
+  awaitable<bool> relay_stream(Exchange& exchange);
   awaitable<void> refuse_unread(unsigned status);
   void watch_caller(const std::shared_ptr<Exchange>& exchange);
 
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -88,7 +88,7 @@
   const unsigned status = co_await connection.read_head(kReadBound);
   if (status == 0) co_return ended(attempt, AttemptEnd::kBroken);
   const std::vector<HttpHeader> headers = connection.headers();
-  const AnswerFacts facts = format.decode_answer(status, headers);
+  const AnswerFacts facts = format.decode_answer(headers);
   const AttemptEnd judged = judge_head(facts, exchange.id(), status);
   if (judged != AttemptEnd::kWhole) co_return ended(attempt, judged, status);
   attempt.answer.status = status;
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -102,7 +102,6 @@
   PeerView& view() { return view_; }
   const PeerView& view() const { return view_; }
   const PeerRecord& self() const { return self_; }
-  const LinkCounts& counts() const { return link_.counts(); }
 
  private:
   void receive(const std::string& from, const proto::Envelope& message);
--- a/src/peridot-router/router_metrics.cc
+++ b/src/peridot-router/router_metrics.cc
@@ -42,10 +42,12 @@
       .Increment();
 }
 
-void RouterMetrics::observe_first_byte(const std::string& kind,
-                                       Millis duration) {
-  first_byte_.Add({{"kind", kind}}, kFirstByteBuckets)
-      .Observe(static_cast<double>(duration));
+void RouterMetrics::observe(const FirstByte& first_byte) {
+  first_byte_
+      .Add({{"kind", call_kind_name(first_byte.kind)},
+            {"account", first_byte.account}},
+           kFirstByteBuckets)
+      .Observe(static_cast<double>(first_byte.waited));
 }
 
 void RouterMetrics::set(const std::string& name, double value) {
--- a/src/peridot-router/router_metrics.h
+++ b/src/peridot-router/router_metrics.h
@@ -25,7 +25,7 @@
   void count(const RecordDecision& decision);
 
   // Notes the time from a request's arrival to the first byte of its answer.
-  void observe_first_byte(const std::string& kind, Millis duration);
+  void observe(const FirstByte& first_byte);
 
   // Sets a named gauge.
   void set(const std::string& name, double value);
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -374,6 +374,7 @@
   const auto exchange = find_exchange(effect.request);
   const auto attempt = attempts_.find({effect.request, effect.attempt});
   if (exchange == nullptr || attempt == attempts_.end()) return;
+  metrics_.observe(effect.first_byte);
   exchange->answer(std::move(attempt->second->answer));
 }
 
@@ -381,6 +382,7 @@
   const auto exchange = find_exchange(effect.request);
   const auto attempt = attempts_.find({effect.request, effect.attempt});
   if (exchange == nullptr || attempt == attempts_.end()) return;
+  if (effect.first_byte) metrics_.observe(*effect.first_byte);
   exchange->open_stream(attempt->second->answer);
 }
 
--- a/src/peridot-router/router_settings.h
+++ b/src/peridot-router/router_settings.h
@@ -15,7 +15,6 @@
 struct RouterSettings {
   std::string vm;
   std::string zone;
-  std::string region;
   // Where callers, readiness checks, address questions and peers connect.
   HttpTarget callers;
   HttpTarget readiness;
--- a/src/peridot-router/wire_format.h
+++ b/src/peridot-router/wire_format.h
@@ -34,8 +34,6 @@
   // The body is encoded, so it is not the endpoint's.
   bool encoded = false;
   bool is_event_stream = false;
-  // The endpoint is leaving or closes the connection.
-  bool closes = false;
 };
 
 // How an endpoint answered a request to copy a generation.
@@ -49,8 +47,7 @@
   // The request as the endpoint gets it.
   std::function<ClientRequest(const RawRequest&, const StartAttempt&)>
       endpoint_request;
-  std::function<AnswerFacts(unsigned status, const std::vector<HttpHeader>&)>
-      decode_answer;
+  std::function<AnswerFacts(const std::vector<HttpHeader>&)> decode_answer;
   // Headers of the endpoint's answer that the caller gets.
   std::function<std::vector<HttpHeader>(const std::vector<HttpHeader>&)>
       caller_headers;
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -62,9 +62,6 @@
   // Returns all headers of the answer in their order.
   std::vector<HttpHeader> headers() const;
 
-  // Whether bytes beyond the answer have arrived, which belong to no request.
-  bool has_excess() const { return buffer_.size() > 0; }
-
   bool sent() const { return sent_; }
 
   // Whether the whole answer was read.
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -158,7 +158,6 @@
                  {std::string(kRequestId), "id-1"},
                  {std::string(kPatience), "39000"},
                  {std::string(kTokenUsage), "1460,80"},
-                 {std::string(kPromptParts), "5c1e:800, 91bd:410"},
                  {std::string(kKey), "secret"},
                  {std::string(kAccount), "forged"},
                  {std::string(kMemorySource), "forged"},
@@ -188,8 +187,6 @@
   CHECK(request.patience == 39000);
   CHECK(request.prompt_tokens == 1460);
   CHECK(request.most_output_tokens == 80);
-  REQUIRE(request.prompt_parts.size() == 2);
-  CHECK(request.prompt_parts[1] == PromptPart{"91bd", 410});
   RawRequest other = raw_request();
   other.body = "another";
   CHECK(make_wire_format().decode_request(other).fingerprint !=
@@ -230,15 +227,15 @@
           "[platform]") {
   const WireFormat format = make_wire_format();
   const AnswerFacts facts = format.decode_answer(
-      200, {{std::string(kRequestId), "id-1"},
-            {std::string(kStamp), "s"},
-            {"Content-Type", "text/event-stream; charset=utf-8"}});
+      {{std::string(kRequestId), "id-1"},
+       {std::string(kStamp), "s"},
+       {"Content-Type", "text/event-stream; charset=utf-8"}});
   CHECK(facts.request_id == "id-1");
   CHECK(facts.stamped);
   CHECK(facts.is_event_stream);
   CHECK_FALSE(facts.not_run);
-  CHECK(format.decode_answer(503, {{std::string(kNotRun), "1"}}).not_run);
-  CHECK(format.decode_answer(200, {{"Content-Encoding", "gzip"}}).encoded);
+  CHECK(format.decode_answer({{std::string(kNotRun), "1"}}).not_run);
+  CHECK(format.decode_answer({{"Content-Encoding", "gzip"}}).encoded);
 }
 
 TEST_CASE("refusals echo the id and say when to come back", "[platform]") {
