Bound moves by the retry budget, which the fleet shares by telling

Each process also had a fixed part of the slack, far too little for a burst of moves of one VM.

Change: digests tell requests and repeats of the window; a process takes at most its part of what is left until its repeats have been heard. A move takes its place before it copies; without one the generation stays where it runs.

Before: the new case of moves_test.cc fails (5 checks) with the refusal ignored. After: it passes, as does a fleet of 1 to 88 processes that repeat as often as they may and hear of each other a second late, in every window.

--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -37,9 +37,18 @@
          found->second.engine->can_move;
 }
 
-void count_repeat(const RoutingContext& context, const RequestState& request) {
-  take_repeat(context.state.budgets[request.service],
-              context.state.self.retries, 1, context.state.now);
+// A move takes its place in the retry budget before it copies. Returns whether
+// it has one; a move that is tried again keeps its place while that counts.
+bool has_budget(const RoutingContext& context, RequestState& request) {
+  GenerationMove& move = request.move;
+  const Millis now = context.state.now;
+  const bool is_counted =
+      move.counted_at != 0 &&
+      now - move.counted_at < context.state.self.retries.window / 2;
+  if (is_counted) return true;
+  if (!may_repeat(context, request.service)) return false;
+  move.counted_at = now;
+  return true;
 }
 
 bool is_leaving(const RoutingState& state, const std::string& endpoint) {
@@ -177,7 +186,7 @@
           {"events_made", std::to_string(move.events_made)}});
   clear_move(context, key, request);
   request.move.tries = 0;
-  count_repeat(context, request);
+  request.move.counted_at = 0;
   start_attempt(context, key, request, move.target, std::move(memory));
 }
 
@@ -237,6 +246,7 @@
   free_copies(context, request);
   GenerationMove cleared;
   cleared.tries = move.tries;
+  cleared.counted_at = move.counted_at;
   cleared.full = std::move(move.full);
   move = std::move(cleared);
 }
@@ -247,6 +257,12 @@
     give_up_turn(context, key, request);
     return;
   }
+  if (!has_budget(context, request)) {
+    record(context, "move_withheld", key,
+           {{"from", request.endpoint}, {"cause", "retry budget is used up"}});
+    give_up_turn(context, key, request);
+    return;
+  }
   start_copy(context, key, request, target);
 }
 
--- a/src/libperidotreach/routing/retry_budget.h
+++ b/src/libperidotreach/routing/retry_budget.h
@@ -1,8 +1,9 @@
 #pragma once
 
-// Budget of requests that are sent to a second endpoint. All processes share
-// it by each taking the part that its own traffic and the number of processes
-// give it, so nothing has to be agreed on.
+// Budget of requests that are sent to a second endpoint, repeats and
+// generations that go on elsewhere alike. All processes share it: each tells
+// the others what it has used and takes no more at a time than its part of
+// what is left, so nothing has to be agreed on.
 
 #include <cstddef>
 #include <cstdint>
@@ -12,9 +13,12 @@
 
 namespace peridotreach {
 
-// The part of its budget that a process uses. The rest covers traffic that
-// moves between processes within a window.
-inline constexpr double kBudgetMargin = 0.8;
+// The part of the budget that is used. The rest covers news that is late.
+inline constexpr double kBudgetMargin = 0.9;
+
+// Time after which all processes have heard of a repeat: the interval of
+// digests between availability zones in a fleet of sixty.
+inline constexpr Millis kRepeatNews = kSecond;
 
 // What the whole fleet may repeat of one service.
 struct RetryAllowance {
@@ -35,12 +39,33 @@
   bool operator==(const RetryBudget&) const = default;
 };
 
+// Requests and repeats that one process counts within the window.
+struct RepeatCounts {
+  std::uint32_t requests = 0;
+  std::uint32_t repeats = 0;
+
+  bool operator==(const RepeatCounts&) const = default;
+};
+
+// What the other processes have told.
+struct PeerRepeats {
+  // Processes in the fleet, this one among them.
+  std::size_t processes = 1;
+  RepeatCounts counts;
+
+  bool operator==(const PeerRepeats&) const = default;
+};
+
+// Returns the requests and repeats within the window that ends at `now`.
+RepeatCounts counts_at(const RetryBudget& budget,
+                       const RetryAllowance& allowance, Millis now);
+
 // Notes a first send at `now`.
 void note_request(RetryBudget& budget, const RetryAllowance& allowance,
                   Millis now);
 
-// Takes one repeat at `now` if there is one left for one of `processes`.
+// Takes one repeat at `now` if there is one left for this process.
 bool take_repeat(RetryBudget& budget, const RetryAllowance& allowance,
-                 std::size_t processes, Millis now);
+                 const PeerRepeats& peers, Millis now);
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -244,8 +244,16 @@
 
 bool may_repeat(const RoutingContext& context, const std::string& service) {
   RoutingState& state = context.state;
-  return take_repeat(state.budgets[service], state.self.retries,
-                     state.peers.size() + 1, state.now);
+  PeerRepeats peers;
+  peers.processes = state.peers.size() + 1;
+  for (const auto& [peer, told] : state.peer_repeats) {
+    const auto found = told.services.find(service);
+    if (found == told.services.end()) continue;
+    peers.counts.requests += found->second.requests;
+    peers.counts.repeats += found->second.repeats;
+  }
+  return take_repeat(state.budgets[service], state.self.retries, peers,
+                     state.now);
 }
 
 void start_attempt(const RoutingContext& context, std::uint64_t key,
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -172,10 +172,20 @@
   bool operator==(const EndpointUse&) const = default;
 };
 
+// Requests and repeats that one process has counted lately for one service.
+struct ServiceRepeats {
+  std::string service;
+  std::uint32_t requests = 0;
+  std::uint32_t repeats = 0;
+
+  bool operator==(const ServiceRepeats&) const = default;
+};
+
 // A peer told how it uses endpoints; replaces what it told before.
 struct PeerUseArrived {
   std::string peer;
   std::vector<EndpointUse> uses;
+  std::vector<ServiceRepeats> repeats;
   // Fingerprints of requests in flight when an endpoint died, with a count.
   std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
 };
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -130,6 +130,12 @@
   touched.insert(uses.begin(), uses.end());
   state.peers[event.peer] = std::move(uses);
   sum_peers(state, touched);
+  ToldRepeats& told = state.peer_repeats[event.peer];
+  told.at = state.now;
+  told.services.clear();
+  for (const ServiceRepeats& counts : event.repeats) {
+    told.services[counts.service] = {counts.requests, counts.repeats};
+  }
   auto& suspects = state.peer_suspects[event.peer];
   suspects.clear();
   for (const auto& [fingerprint, deaths] : event.suspects) {
@@ -153,6 +159,9 @@
   place_waiting_requests(context);
   plan_moves(context);
   expire_suspects(state.suspects, state.now);
+  std::erase_if(state.peer_repeats, [&](const auto& entry) {
+    return state.now - entry.second.at > state.self.retries.window;
+  });
   std::erase_if(state.granted, [&](const GrantedRoom& room) {
     return room.until <= state.now;
   });
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -79,6 +79,8 @@
   bool source_ended = false;
   // Not moved before this time.
   Millis not_before = 0;
+  // When the move was counted on the retry budget; 0 if it was not.
+  Millis counted_at = 0;
   // When a turn was asked for, and when the keeper of turns last answered.
   Millis asked = 0;
   Millis heard = 0;
@@ -133,6 +135,14 @@
   bool operator==(const GrantedRoom&) const = default;
 };
 
+// What a peer told of its repeats, by service.
+struct ToldRepeats {
+  std::map<std::string, RepeatCounts> services;
+  Millis at = 0;
+
+  bool operator==(const ToldRepeats&) const = default;
+};
+
 // Everything the reducer knows.
 struct RoutingState {
   RoutingSelf self;
@@ -145,6 +155,8 @@
   // Lengths of outputs by route and account.
   LengthModel lengths;
   std::map<std::string, RetryBudget> budgets;
+  // Kept for a window after the peer was heard last.
+  std::map<std::string, ToldRepeats> peer_repeats;
   std::map<std::string, std::map<std::string, EndpointUse>> peers;
   // Fingerprints in flight at deaths, here and as peers told.
   Quarantine suspects;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -90,6 +90,12 @@
     cell.set_copies(use.copies);
     cell.set_breaks(static_cast<std::uint32_t>(use.breaks * kHundredths));
   }
+  for (const ServiceRepeats& counts : own.repeats) {
+    proto::RepeatCell& cell = *digest.add_repeats();
+    cell.set_service(counts.service);
+    cell.set_requests(counts.requests);
+    cell.set_repeats(counts.repeats);
+  }
   for (const auto& [fingerprint, deaths] : own.suspects) {
     proto::SuspectCell& cell = *digest.add_suspects();
     cell.set_fingerprint(fingerprint);
@@ -319,6 +325,9 @@
                         cell.unread_tokens(), cell.copies(),
                         cell.breaks() / kHundredths});
   }
+  for (const proto::RepeatCell& cell : digest.repeats()) {
+    use.repeats.push_back({cell.service(), cell.requests(), cell.repeats()});
+  }
   for (const proto::SuspectCell& cell : digest.suspects()) {
     use.suspects.emplace_back(cell.fingerprint(), cell.deaths());
   }
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -36,6 +36,7 @@
   bool stopping = false;
   bool reads_store = true;
   std::vector<EndpointUse> uses;
+  std::vector<ServiceRepeats> repeats;
   std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
 
   bool operator==(const OwnDigest&) const = default;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -35,6 +35,10 @@
 // Breaks below this are not told to peers.
 constexpr double kLeastToldBreaks = 0.25;
 
+// Requests are told in steps of this many, so that traffic alone does not make
+// a digest.
+constexpr std::uint32_t kToldRequests = 8;
+
 std::string place_of(const HttpTarget& target) {
   return target.address + ":" + std::to_string(target.port);
 }
@@ -168,6 +172,13 @@
     own.uses.back().breaks =
         std::floor(breaks / kLeastToldBreaks) * kLeastToldBreaks;
   }
+  for (const auto& [service, budget] : state_.budgets) {
+    const RepeatCounts counts =
+        counts_at(budget, state_.self.retries, state_.now);
+    own.repeats.push_back({service,
+                           counts.requests / kToldRequests * kToldRequests,
+                           counts.repeats});
+  }
   for (const auto& [fingerprint, suspect] : state_.suspects.suspects) {
     own.suspects.emplace_back(fingerprint, suspect.deaths);
   }
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -139,6 +139,30 @@
   CHECK(effects_of<FinishStream>(effects).empty());
 }
 
+TEST_CASE("a generation is not copied once the retry budget is used up",
+          "[moves]") {
+  SampleRouter router;
+  const auto request = running_stream(router, 10);
+  const std::string source = router.attempt(request).endpoint;
+  PeerUseArrived peer;
+  peer.peer = "vm-2";
+  peer.repeats = {{"engines", 0, 1000}};
+  router.apply(peer);
+  give_notice(router, source);
+  const auto withheld =
+      router.answer_room(router.apply(TurnGranted{request, source}));
+  CHECK(effects_of<CopyGeneration>(withheld).empty());
+  CHECK(effects_of<EndTurn>(withheld).size() == 1);
+
+  peer.repeats = {{"engines", 0, 0}};
+  router.apply(peer);
+  CHECK(effects_of<AskTurn>(router.pass(100)).size() == 1);
+  CHECK(effects_of<CopyGeneration>(
+            router.answer_room(router.apply(TurnGranted{request, source})))
+            .size() == 1);
+  CHECK(router.state.budgets["engines"].repeats.size() == 1);
+}
+
 TEST_CASE("turns go round in order and lapse", "[moves]") {
   TurnBook book;
   const CopyTurn first{"vm-1", 1};
--- /dev/null
+++ b/tests/routing/retry_budget_test.cc
@@ -0,0 +1,99 @@
+// Tests of the retry budget that the processes of a fleet share.
+
+#include "libperidotreach/routing/retry_budget.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+#include <vector>
+
+namespace peridotreach {
+namespace {
+
+// Processes that all repeat as often as they may and hear of each other's
+// repeats after `kRepeatNews`.
+class Fleet {
+ public:
+  explicit Fleet(std::size_t size) : budgets_(size), told_(size) {}
+
+  // Sends one request through each process.
+  void request() {
+    for (RetryBudget& budget : budgets_) note_request(budget, allowance, now);
+  }
+
+  // Has each process repeat until it may not. Returns how often they did.
+  std::size_t repeat() {
+    std::size_t taken = 0;
+    for (std::size_t i = 0; i < budgets_.size(); ++i) {
+      while (take_repeat(budgets_[i], allowance, others(i), now)) taken += 1;
+    }
+    return taken;
+  }
+
+  // Lets the news of all repeats arrive.
+  void pass() {
+    for (std::size_t i = 0; i < budgets_.size(); ++i) {
+      told_[i] = counts_at(budgets_[i], allowance, now);
+    }
+    now += kRepeatNews;
+  }
+
+  RetryAllowance allowance{0.2, 60, 10 * kSecond};
+  Millis now = 1000;
+
+ private:
+  PeerRepeats others(std::size_t self) const {
+    PeerRepeats peers;
+    peers.processes = budgets_.size();
+    for (std::size_t i = 0; i < told_.size(); ++i) {
+      if (i == self) continue;
+      peers.counts.requests += told_[i].requests;
+      peers.counts.repeats += told_[i].repeats;
+    }
+    return peers;
+  }
+
+  std::vector<RetryBudget> budgets_;
+  std::vector<RepeatCounts> told_;
+};
+
+TEST_CASE("a fleet keeps to its retry budget in every window", "[routing]") {
+  const std::size_t size = GENERATE(1, 2, 7, 61, 88);
+  Fleet fleet(size);
+  std::vector<std::size_t> taken;
+  const int window = static_cast<int>(fleet.allowance.window / kRepeatNews);
+  for (int second = 0; second < 4 * window; ++second) {
+    fleet.request();
+    taken.push_back(fleet.repeat());
+    fleet.pass();
+    const auto last =
+        taken.end() - std::min<std::ptrdiff_t>(window, std::ssize(taken));
+    const auto repeats = std::accumulate(last, taken.end(), std::size_t{0});
+    const auto requests =
+        size * static_cast<std::size_t>(
+                   std::min<std::ptrdiff_t>(window, std::ssize(taken)));
+    CHECK(static_cast<double>(repeats) <=
+          fleet.allowance.ratio * static_cast<double>(requests) +
+              fleet.allowance.slack);
+  }
+}
+
+TEST_CASE("a process alone uses the whole fleet's budget over a window",
+          "[routing]") {
+  Fleet fleet(1);
+  for (int i = 0; i < 100; ++i) fleet.request();
+  CHECK(fleet.repeat() == 72);
+  fleet.now += 11 * kSecond;
+  CHECK(fleet.repeat() == 54);
+}
+
+TEST_CASE("repeats of others leave less to this process", "[routing]") {
+  RetryBudget budget;
+  const RetryAllowance allowance{0.2, 10, 10 * kSecond};
+  CHECK(take_repeat(budget, allowance, {2, {0, 7}}, 1000));
+  CHECK_FALSE(take_repeat(budget, allowance, {2, {0, 7}}, 1000));
+  CHECK(take_repeat(budget, allowance, {2, {50, 7}}, 1000));
+  CHECK_FALSE(take_repeat(budget, allowance, {2, {0, 8}}, 3000));
+}
+
+}  // namespace
+}  // namespace peridotreach
