Take changed settings while running; keep lapsed endpoints until they may return

Cause: a changed settings file was logged and not read, so changed bounds, seeds and the store's address held only after a restart. Entries whose leases lapsed in an outage of the store were dropped at its return and their generations moved, though the endpoints lived and registered again within two seconds.

A removed entry is kept for 1.8 s after the store's return unless it had given notice. The clock counts the time in which a VM was suspended (CLOCK_BOOTTIME).

--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -11,6 +11,7 @@
 
 #include "libperidotreach/routing/endpoint_entry.h"
 #include "libperidotreach/routing/manifest.h"
+#include "libperidotreach/routing/retry_budget.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -50,6 +51,16 @@
   std::string id;
 };
 
+// Calls to the store fail, or succeed again.
+struct StoreSeen {
+  bool is_reachable = true;
+};
+
+// What the fleet may repeat has changed.
+struct AllowanceChanged {
+  RetryAllowance retries;
+};
+
 // A request was read whole.
 struct RequestArrived {
   std::uint64_t request = 0;
@@ -202,10 +213,11 @@
 struct RoutingEvent {
   Millis at = 0;
   std::uint64_t random = 0;
-  std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, RequestArrived,
-               CallerLeft, AttemptEnded, StreamOpened, StreamEventArrived,
-               CopyAnswered, TurnGranted, TurnQueued, RoomAsked, RoomAnswered,
-               PeerUseArrived, PeerLost, RoutingTicked>
+  std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, StoreSeen,
+               AllowanceChanged, RequestArrived, CallerLeft, AttemptEnded,
+               StreamOpened, StreamEventArrived, CopyAnswered, TurnGranted,
+               TurnQueued, RoomAsked, RoomAnswered, PeerUseArrived, PeerLost,
+               RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -11,6 +11,10 @@
 // How long a listed endpoint's state is kept once it is gone and unused.
 constexpr Millis kGoneMemory = 30 * kSecond;
 
+// Time after the store's return in which entries that lapsed meanwhile come
+// back: two seconds by the platform's word, less what it takes to notice it.
+constexpr Millis kEntryReturn = 1800;
+
 void apply(const RoutingContext& context, const ManifestTaken& event) {
   RoutingState& state = context.state;
   if (state.manifest && event.manifest.version <= state.manifest->version) {
@@ -47,20 +51,62 @@
   const bool returned = !endpoint.listed;
   endpoint.entry = entry;
   endpoint.listed = true;
+  endpoint.absent_since = 0;
   endpoint.warm_until = state.now + entry.warm_up;
   if (entry.leaving) start_leaving(context, endpoint, "notice");
   if (!entry.leaving && returned) endpoint.leaving_since = 0;
   plan_moves(context);
 }
 
+void drop(const RoutingContext& context, EndpointState& endpoint) {
+  endpoint.listed = false;
+  endpoint.absent_since = 0;
+  start_leaving(context, endpoint, "unlisted");
+}
+
+// Leases of living endpoints lapse while the store is away; their entries come
+// back soon after it.
 void apply(const RoutingContext& context, const EndpointUnlisted& event) {
+  RoutingState& state = context.state;
   EndpointState* endpoint = find_endpoint(context, event.id);
   if (endpoint == nullptr || !endpoint->listed) return;
-  endpoint->listed = false;
-  start_leaving(context, *endpoint, "unlisted");
+  const bool may_return = endpoint->leaving_since == 0 &&
+                          (!state.store_reachable ||
+                           (state.store_regained != 0 &&
+                            state.now - state.store_regained < kEntryReturn));
+  if (may_return) {
+    if (endpoint->absent_since == 0) endpoint->absent_since = state.now;
+    record(context, "endpoint_absent", 0, {{"endpoint", event.id}});
+    return;
+  }
+  drop(context, *endpoint);
   plan_moves(context);
 }
 
+// Drops endpoints whose entries have not come back.
+void drop_absent(const RoutingContext& context) {
+  RoutingState& state = context.state;
+  for (auto& [id, endpoint] : state.endpoints) {
+    if (endpoint.absent_since == 0) continue;
+    const Millis since = state.store_reachable
+                             ? std::min(state.store_regained, state.now)
+                             : endpoint.absent_since;
+    if (state.now - since < kEntryReturn) continue;
+    drop(context, endpoint);
+  }
+}
+
+void apply(const RoutingContext& context, const StoreSeen& event) {
+  RoutingState& state = context.state;
+  if (event.is_reachable == state.store_reachable) return;
+  state.store_reachable = event.is_reachable;
+  if (event.is_reachable) state.store_regained = state.now;
+}
+
+void apply(const RoutingContext& context, const AllowanceChanged& event) {
+  context.state.self.retries = event.retries;
+}
+
 void apply(const RoutingContext& context, const RequestArrived& event) {
   on_request(context, event);
 }
@@ -156,6 +202,7 @@
 void apply(const RoutingContext& context, const RoutingTicked&) {
   RoutingState& state = context.state;
   end_overdue_requests(context);
+  drop_absent(context);
   place_waiting_requests(context);
   plan_moves(context);
   expire_suspects(state.suspects, state.now);
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -31,6 +31,9 @@
 struct EndpointState {
   EndpointEntry entry;
   bool listed = true;
+  // Since when its entry is missing after an outage of the store, though it may
+  // come back; 0 if it is not.
+  Millis absent_since = 0;
   // When it was first known to leave; 0 if it stays.
   Millis leaving_since = 0;
   Millis warm_until = 0;
@@ -148,6 +151,9 @@
   RoutingSelf self;
   Millis now = 0;
   std::uint64_t random = 1;
+  // Whether calls to the store succeed, and since when they do again.
+  bool store_reachable = true;
+  Millis store_regained = 0;
   std::optional<Manifest> manifest;
   std::map<std::string, EndpointState> endpoints;
   std::map<std::uint64_t, RequestState> requests;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -53,10 +53,7 @@
 
 Result<std::uint16_t> PeerExchange::start(
     const HttpTarget& link, const std::vector<HttpTarget>& seeds) {
-  for (const HttpTarget& seed : seeds) {
-    const std::string place = seed.address + ":" + std::to_string(seed.port);
-    if (place != self_.link) seeds_.push_back(place);
-  }
+  set_seeds(seeds);
   return link_.start(
       link.address, link.port,
       [this](const std::string& from, const proto::Envelope& message) {
@@ -64,6 +61,14 @@
       });
 }
 
+void PeerExchange::set_seeds(const std::vector<HttpTarget>& seeds) {
+  seeds_.clear();
+  for (const HttpTarget& seed : seeds) {
+    const std::string place = seed.address + ":" + std::to_string(seed.port);
+    if (place != self_.link) seeds_.push_back(place);
+  }
+}
+
 proto::Envelope PeerExchange::envelope() const {
   proto::Envelope message;
   message.set_version(kEnvelopeVersion);
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -84,6 +84,9 @@
   Result<std::uint16_t> start(const HttpTarget& link,
                               const std::vector<HttpTarget>& seeds);
 
+  // Where peers may be reached that the store does not list.
+  void set_seeds(const std::vector<HttpTarget>& seeds);
+
   // Tells peers if something changed or a heartbeat is due.
   void tick(const OwnDigest& own, Millis now);
 
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -249,6 +249,19 @@
   co_await exchange.respond(std::move(response));
 }
 
+void RouterNode::set_reads_store(bool reads) {
+  reads_store_ = reads;
+  post(StoreSeen{reads});
+}
+
+void RouterNode::reload(const RouterSettings& settings) {
+  settings_.retries = settings.retries;
+  settings_.stop_grace = settings.stop_grace;
+  settings_.seeds = settings.seeds;
+  peers_.set_seeds(settings.seeds);
+  post(AllowanceChanged{settings.retries});
+}
+
 bool RouterNode::follows_tables() const {
   return peridotreach::follows_tables(peers_.view(), peers_.self(),
                                       reads_store_, monotonic_now());
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -54,7 +54,10 @@
                    const std::string* value, std::uint64_t revision);
   void replace(const std::string& table, const SharedTableState& state);
   // Whether calls to the store succeed.
-  void set_reads_store(bool reads) { reads_store_ = reads; }
+  void set_reads_store(bool reads);
+
+  // Takes those settings that may change while the process runs.
+  void reload(const RouterSettings& settings);
 
   // Whether this process follows the store's busy tables; others hear of
   // their changes from it.
--- a/src/runtime/clock.cc
+++ b/src/runtime/clock.cc
@@ -3,12 +3,17 @@
 #include <sodium.h>
 
 #include <chrono>
+#include <ctime>
 
 namespace peridotreach {
 
 Millis monotonic_now() {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  // The steady clock stands still while a VM is suspended; deadlines, leases
+  // and what was heard of peers do not.
+  timespec now = {};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr Millis kNanosPerMilli = 1'000'000;
+  return now.tv_sec * kSecond + now.tv_nsec / kNanosPerMilli;
 }
 
 std::uint64_t wall_now_ms() {
--- a/src/runtime/clock.h
+++ b/src/runtime/clock.h
@@ -9,7 +9,7 @@
 
 namespace peridotreach {
 
-// Milliseconds of the monotonic clock.
+// Milliseconds since the VM booted, with the time that it was suspended.
 Millis monotonic_now();
 
 // Milliseconds since the epoch.
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -130,6 +130,21 @@
   fuzz(kSettings, [](const std::string& text) { decode_settings(text); });
 }
 
+TEST_CASE("changed settings that take a restart are named", "[platform]") {
+  const auto read = decode_settings(kSettings);
+  REQUIRE(ok(read));
+  PlatformSettings next = value(read);
+  next.router.retries.slack = 9;
+  next.router.stop_grace = 1;
+  next.router.seeds.clear();
+  next.store.port = 7;
+  CHECK(changes_for_restart(value(read), next).empty());
+  next.router.zone = "b";
+  next.router.link.port = 9;
+  CHECK(changes_for_restart(value(read), next) ==
+        std::vector<std::string>{"zone", "listen.control"});
+}
+
 TEST_CASE("items of the store are decoded, removals too", "[platform]") {
   const auto answer = parse_object(
       R"({"events":[{"key":"a","value":"bm9kZS0x","rev":4},
