--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -187,6 +187,7 @@
   clear_move(context, key, request);
   request.move.tries = 0;
   request.move.counted_at = 0;
+  request.moves += 1;
   start_attempt(context, key, request, move.target, std::move(memory));
 }
 
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -381,7 +381,12 @@
       record(context, "outcome", event.request,
              {{"status", "complete"},
               {"endpoint", request->endpoint},
+              {"route", request->route.name},
               {"events", std::to_string(request->events)},
+              {"first_event_ms",
+               std::to_string(request->first_event_at - request->arrived)},
+              {"longest_pause_ms", std::to_string(request->longest_pause)},
+              {"moves", std::to_string(request->moves)},
               {"ms", std::to_string(context.state.now - request->arrived)}});
       note_finished(context.state.suspects, request->facts.fingerprint);
       learn_length(context.state.lengths, *request,
@@ -411,6 +416,16 @@
 
 namespace {
 
+void note_event_time(RequestState& request, Millis now) {
+  if (request.events == 0) {
+    request.first_event_at = now;
+  } else {
+    request.longest_pause =
+        std::max(request.longest_pause, now - request.last_event_at);
+  }
+  request.last_event_at = now;
+}
+
 // Books more memory for a generation that is longer than expected.
 void note_overrun(const RoutingContext& context, RequestState& request) {
   const double produced = produced_tokens(context.state, request);
@@ -447,6 +462,7 @@
   RequestState* request = find_request(context, event.request);
   if (request == nullptr || event.attempt != request->attempt) return;
   note_read(context, *request);
+  note_event_time(*request, context.state.now);
   request->events += 1;
   note_overrun(context, *request);
   request->last_event = event.event_id;
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -122,6 +122,12 @@
   Millis opened = 0;
   std::int64_t last_event = 0;
   std::uint32_t events = 0;
+  // When events arrived, and the longest pause between two of them.
+  Millis first_event_at = 0;
+  Millis last_event_at = 0;
+  Millis longest_pause = 0;
+  // Endpoints that it went on at after the first.
+  std::uint32_t moves = 0;
   GenerationMove move;
 
   bool operator==(const RequestState&) const = default;
