Explain a request from routers' logs; keep one name for one type

peridotctl explain ID FILE... reads the JSON logs of many processes, with what a collector writes in front of them, and prints the request's lines in order of time, marked beside them what its process came to believe of its endpoints, peers and the store, and a sentence on its end.

RetryBudget and CallerLeft were defined twice in one namespace, with different members, in parts of one library that are linked together. The router's are SharedRetryBudget and CallerDisconnected now.

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -344,7 +344,8 @@
   place(context, event.request, kept, "");
 }
 
-void on_caller_left(const RoutingContext& context, const CallerLeft& event) {
+void on_caller_left(const RoutingContext& context,
+                    const CallerDisconnected& event) {
   const RequestState* request = find_request(context, event.request);
   if (request == nullptr) return;
   record(context, "outcome", event.request,
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -11,7 +11,7 @@
 
 #include "libperidotreach/routing/endpoint_entry.h"
 #include "libperidotreach/routing/manifest.h"
-#include "libperidotreach/routing/retry_budget.h"
+#include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -68,7 +68,7 @@
 };
 
 // A caller closed its connection.
-struct CallerLeft {
+struct CallerDisconnected {
   std::uint64_t request = 0;
 };
 
@@ -214,10 +214,10 @@
   Millis at = 0;
   std::uint64_t random = 0;
   std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, StoreSeen,
-               AllowanceChanged, RequestArrived, CallerLeft, AttemptEnded,
-               StreamOpened, StreamEventArrived, CopyAnswered, TurnGranted,
-               TurnQueued, RoomAsked, RoomAnswered, PeerUseArrived, PeerLost,
-               RoutingTicked>
+               AllowanceChanged, RequestArrived, CallerDisconnected,
+               AttemptEnded, StreamOpened, StreamEventArrived, CopyAnswered,
+               TurnGranted, TurnQueued, RoomAsked, RoomAnswered, PeerUseArrived,
+               PeerLost, RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -111,7 +111,7 @@
   on_request(context, event);
 }
 
-void apply(const RoutingContext& context, const CallerLeft& event) {
+void apply(const RoutingContext& context, const CallerDisconnected& event) {
   on_caller_left(context, event);
 }
 
@@ -250,8 +250,9 @@
   step.state.random = event.random;
   const RoutingContext context{step.state, step.effects};
   std::visit([&](const auto& body) { apply(context, body); }, event.body);
-  const bool frees_room = std::holds_alternative<AttemptEnded>(event.body) ||
-                          std::holds_alternative<CallerLeft>(event.body);
+  const bool frees_room =
+      std::holds_alternative<AttemptEnded>(event.body) ||
+      std::holds_alternative<CallerDisconnected>(event.body);
   if (frees_room) place_waiting_requests(context);
   return step;
 }
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -12,8 +12,8 @@
 #include "libperidotreach/length_model.h"
 #include "libperidotreach/quarantine.h"
 #include "libperidotreach/routing/manifest.h"
-#include "libperidotreach/routing/retry_budget.h"
 #include "libperidotreach/routing/routing_event.h"
+#include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -166,7 +166,7 @@
   std::vector<GrantedRoom> granted;
   // Lengths of outputs by route and account.
   LengthModel lengths;
-  std::map<std::string, RetryBudget> budgets;
+  std::map<std::string, SharedRetryBudget> budgets;
   // Kept for a window after the peer was heard last.
   std::map<std::string, ToldRepeats> peer_repeats;
   std::map<std::string, std::map<std::string, EndpointUse>> peers;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -60,7 +60,8 @@
 
 // Requests (routed_requests.cc).
 void on_request(const RoutingContext& context, const RequestArrived& event);
-void on_caller_left(const RoutingContext& context, const CallerLeft& event);
+void on_caller_left(const RoutingContext& context,
+                    const CallerDisconnected& event);
 void on_attempt_ended(const RoutingContext& context, const AttemptEnded& event);
 void on_stream_opened(const RoutingContext& context, const StreamOpened& event);
 void on_stream_event(const RoutingContext& context,
--- a/src/libperidotreach/routing/retry_budget.cc
+++ b/src/libperidotreach/routing/shared_retry_budget.cc
@@ -1,4 +1,4 @@
-#include "libperidotreach/routing/retry_budget.h"
+#include "libperidotreach/routing/shared_retry_budget.h"
 
 #include <algorithm>
 
@@ -11,13 +11,13 @@
 
 }  // namespace
 
-void note_request(RetryBudget& budget, const RetryAllowance& allowance,
+void note_request(SharedRetryBudget& budget, const RetryAllowance& allowance,
                   Millis now) {
   forget_before(budget.requests, now - allowance.window);
   budget.requests.push_back(now);
 }
 
-RepeatCounts counts_at(const RetryBudget& budget,
+RepeatCounts counts_at(const SharedRetryBudget& budget,
                        const RetryAllowance& allowance, Millis now) {
   const auto within = [&](const std::deque<Millis>& times) {
     return static_cast<std::uint32_t>(
@@ -27,7 +27,7 @@
   return {within(budget.requests), within(budget.repeats)};
 }
 
-bool take_repeat(RetryBudget& budget, const RetryAllowance& allowance,
+bool take_repeat(SharedRetryBudget& budget, const RetryAllowance& allowance,
                  const PeerRepeats& peers, Millis now) {
   forget_before(budget.requests, now - allowance.window);
   forget_before(budget.repeats, now - allowance.window);
--- a/src/libperidotreach/routing/retry_budget.h
+++ b/src/libperidotreach/routing/shared_retry_budget.h
@@ -32,11 +32,11 @@
 };
 
 // Requests and repeats of one service within the window.
-struct RetryBudget {
+struct SharedRetryBudget {
   std::deque<Millis> requests;
   std::deque<Millis> repeats;
 
-  bool operator==(const RetryBudget&) const = default;
+  bool operator==(const SharedRetryBudget&) const = default;
 };
 
 // Requests and repeats that one process counts within the window.
@@ -57,15 +57,15 @@
 };
 
 // Returns the requests and repeats within the window that ends at `now`.
-RepeatCounts counts_at(const RetryBudget& budget,
+RepeatCounts counts_at(const SharedRetryBudget& budget,
                        const RetryAllowance& allowance, Millis now);
 
 // Notes a first send at `now`.
-void note_request(RetryBudget& budget, const RetryAllowance& allowance,
+void note_request(SharedRetryBudget& budget, const RetryAllowance& allowance,
                   Millis now);
 
 // Takes one repeat at `now` if there is one left for this process.
-bool take_repeat(RetryBudget& budget, const RetryAllowance& allowance,
+bool take_repeat(SharedRetryBudget& budget, const RetryAllowance& allowance,
                  const PeerRepeats& peers, Millis now);
 
 }  // namespace peridotreach
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -340,7 +340,7 @@
 }
 
 void RouterNode::caller_left(const Exchange& exchange) {
-  post(CallerLeft{exchange.key()});
+  post(CallerDisconnected{exchange.key()});
 }
 
 std::shared_ptr<Exchange> RouterNode::find_exchange(
--- a/src/peridot-router/router_settings.h
+++ b/src/peridot-router/router_settings.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "libperidotreach/routing/retry_budget.h"
+#include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/time.h"
 #include "runtime/http_client.h"
 
--- a/src/peridotctl/main.cc
+++ b/src/peridotctl/main.cc
@@ -34,7 +34,9 @@
     {"refusals", "", show_refusals,
      "refusals [--from=MINUTE] [--to=MINUTE]: account for minutes of refusal"},
     {"explain", "", explain_request,
-     "explain REQUEST-ID: show the decisions about a request"},
+     "explain REQUEST-ID [LOG-FILE...]: show the decisions about a request, "
+     "asking the VM that handled it or from routers' logs (- is standard "
+     "input)"},
     {"completion", "", print_completion,
      "completion: print a completion script for bash"},
 }};
--- a/src/peridotctl/report_commands.cc
+++ b/src/peridotctl/report_commands.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <set>
 
@@ -12,6 +13,7 @@
 #include "peridotctl/table.h"
 #include "runtime/clock.h"
 #include "runtime/json.h"
+#include "runtime/request_timeline.h"
 #include "runtime/store_keys.h"
 #include "runtime/wire.h"
 
@@ -173,11 +175,44 @@
   return missing.empty() ? kDone : kFailed;
 }
 
+namespace {
+
+// Explains a request by log files; "-" is standard input.
+int explain_from_logs(const CommandLine& line) {
+  RequestLog log;
+  for (std::size_t i = 2; i < line.words.size(); ++i) {
+    const std::string& path = line.words[i];
+    if (path == "-") {
+      log.read(std::cin);
+      continue;
+    }
+    std::ifstream file(path);
+    if (!file) {
+      std::cerr << "cannot read " << path << "; name the routers' log files\n";
+      return kUsage;
+    }
+    log.read(file);
+  }
+  const RequestTimeline timeline = log.timeline(line.words[1]);
+  Table table{{"at_ms", "vm", "decision", "detail"}, {}};
+  for (const TimelineEntry& entry : timeline.entries) {
+    table.rows.push_back({std::to_string(entry.at_ms), entry.vm,
+                          (entry.is_belief ? "* " : "") + entry.decision,
+                          entry.detail});
+  }
+  std::cout << print_table(table, line.settings.is_on("json"));
+  if (!line.settings.is_on("json")) std::cout << timeline.cause << "\n";
+  return table.rows.empty() ? kFailed : kDone;
+}
+
+}  // namespace
+
 int explain_request(const CommandLine& line) {
-  if (line.words.size() != 2) {
-    std::cerr << "write: explain REQUEST-ID\n";
+  if (line.words.size() < 2) {
+    std::cerr << "write: explain REQUEST-ID [LOG-FILE...]\n";
     return kUsage;
   }
+  if (line.words.size() > 2) return explain_from_logs(line);
   Opened opened;
   if (!open_store(line, opened)) return kUsage;
   const std::string& id = line.words[1];
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -113,7 +113,7 @@
 TEST_CASE("the endpoint stops when the caller leaves", "[routing]") {
   SampleRouter router;
   const auto request = router.request("/stream/1");
-  const auto effects = router.apply(CallerLeft{request});
+  const auto effects = router.apply(CallerDisconnected{request});
   CHECK(effects_of<DropAttempt>(effects).size() == 1);
   CHECK(router.state.requests.empty());
   for (const auto& [id, endpoint] : router.state.endpoints) {
--- a/tests/routing/routing_property_test.cc
+++ b/tests/routing/routing_property_test.cc
@@ -175,7 +175,7 @@
     const auto [key, attempt] = any_attempt();
     if (key == 0) return;
     left_.insert(key);
-    send(CallerLeft{key});
+    send(CallerDisconnected{key});
   }
 
   void check(const std::vector<RoutingEffect>& effects) {
--- a/tests/routing/retry_budget_test.cc
+++ b/tests/routing/shared_retry_budget_test.cc
@@ -1,6 +1,6 @@
 // Tests of the retry budget that the processes of a fleet share.
 
-#include "libperidotreach/routing/retry_budget.h"
+#include "libperidotreach/routing/shared_retry_budget.h"
 
 #include <catch2/catch.hpp>
 #include <numeric>
@@ -17,7 +17,8 @@
 
   // Sends one request through each process.
   void request() {
-    for (RetryBudget& budget : budgets_) note_request(budget, allowance, now);
+    for (SharedRetryBudget& budget : budgets_)
+      note_request(budget, allowance, now);
   }
 
   // Has each process repeat until it may not. Returns how often they did.
@@ -52,7 +53,7 @@
     return peers;
   }
 
-  std::vector<RetryBudget> budgets_;
+  std::vector<SharedRetryBudget> budgets_;
   std::vector<RepeatCounts> told_;
 };
 
@@ -87,7 +88,7 @@
 }
 
 TEST_CASE("repeats of others leave less to this process", "[routing]") {
-  RetryBudget budget;
+  SharedRetryBudget budget;
   const RetryAllowance allowance{0.2, 10, 10 * kSecond};
   CHECK(take_repeat(budget, allowance, {2, {0, 7}}, 1000));
   CHECK_FALSE(take_repeat(budget, allowance, {2, {0, 7}}, 1000));
--- a/tests/routing/store_return_test.cc
+++ b/tests/routing/store_return_test.cc
@@ -40,8 +40,7 @@
   CHECK_FALSE(is_listed(router, "e1"));
 }
 
-TEST_CASE("a peer's news of a lapse counts from when it arrived",
-          "[routing]") {
+TEST_CASE("a peer's news of a lapse counts from when it arrived", "[routing]") {
   SampleRouter router;
   router.apply(StoreSeen{false});
   router.pass(5000);
