Give freed room to moves before new work

Ruled out: late news of the notice (1.75 s were left), the retry budget (9 withheld), the link (copies that started were complete).

Change: while a move waits for room at its keeper, other than urgent new work gets none. A move may go to an engine of another zone's cell up to 0.9 of its memory.

--- a/src/libperidotreach/routing/engine_room.cc
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -26,12 +26,17 @@
 // The largest share of memory projected in use at an engine of another cell:
 // its keeper grants room too, and its use is told late.
 constexpr double kMostMemoryElsewhere = 0.6;
+constexpr double kMostMemoryMovedElsewhere = 0.9;
 
 // Burden of a move's target in another zone, where a copy takes twice as long,
 // and of one whose link another copy is using.
 constexpr double kCopyZoneBurden = 0.25;
 constexpr double kOtherCopyBurden = 0.35;
 
+// Time for which a move that found no room keeps new work out; it asks again
+// well within it.
+constexpr Millis kMoveWait = 300;
+
 // Time until a grant shows in the other's own account of its use.
 constexpr Millis kGrantLife = 350;
 
@@ -60,7 +65,8 @@
   EndpointNeed need;
   if (state.peers.size() > kMostPeersOfOneCell) {
     need.other_zone_burden = kOtherCellBurden;
-    need.most_memory_elsewhere = kMostMemoryElsewhere;
+    need.most_memory_elsewhere =
+        room.is_move ? kMostMemoryMovedElsewhere : kMostMemoryElsewhere;
   }
   need.service = room.service;
   need.tokens = room.tokens;
@@ -115,10 +121,37 @@
   return true;
 }
 
+namespace {
+
+bool has_waiting_move(const RoutingState& state, const std::string& service) {
+  return std::any_of(state.waiting_moves.begin(), state.waiting_moves.end(),
+                     [&](const WaitingMove& move) {
+                       return move.service == service && move.until > state.now;
+                     });
+}
+
+void note_move(RoutingState& state, const RoomAsked& event, bool has_room) {
+  std::erase_if(state.waiting_moves, [&](const WaitingMove& move) {
+    return move.until <= state.now ||
+           (move.peer == event.peer && move.request == event.request);
+  });
+  if (has_room) return;
+  state.waiting_moves.push_back(
+      {event.peer, event.request, event.need.service, state.now + kMoveWait});
+}
+
+}  // namespace
+
 void on_room_asked(const RoutingContext& context, const RoomAsked& event) {
   RoutingState& state = context.state;
+  // What runs already has cost memory and time that would be lost with it, so
+  // freed room goes to moves before new work; urgent work is short.
+  const bool yields = !event.need.is_move && event.need.rank > 0 &&
+                      has_waiting_move(state, event.need.service);
   const std::string endpoint =
-      choose_endpoint(state, need_of(state, event.need));
+      yields ? std::string()
+             : choose_endpoint(state, need_of(state, event.need));
+  if (event.need.is_move) note_move(state, event, !endpoint.empty());
   context.effects.push_back(AnswerRoom{event.peer, event.request, endpoint});
   // What runs here is booked by this process itself.
   if (endpoint.empty() || event.peer == state.self.vm) return;
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -144,6 +144,16 @@
   bool operator==(const GrantedRoom&) const = default;
 };
 
+// A generation on an endpoint that leaves for which there was no room.
+struct WaitingMove {
+  std::string peer;
+  std::uint64_t request = 0;
+  std::string service;
+  Millis until = 0;
+
+  bool operator==(const WaitingMove&) const = default;
+};
+
 // What a peer told of its repeats, by service.
 struct ToldRepeats {
   std::map<std::string, RepeatCounts> services;
@@ -164,6 +174,8 @@
   std::map<std::string, EndpointState> endpoints;
   std::map<std::uint64_t, RequestState> requests;
   std::vector<GrantedRoom> granted;
+  // Moves that this process, as the keeper of room, could not grant lately.
+  std::vector<WaitingMove> waiting_moves;
   // Lengths of outputs by route and account.
   LengthModel lengths;
   std::map<std::string, SharedRetryBudget> budgets;
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -139,6 +139,35 @@
   CHECK(effects_of<FinishStream>(effects).empty());
 }
 
+TEST_CASE("freed room goes to a move before new work", "[moves]") {
+  SampleRouter router;
+  RoomNeed need;
+  need.service = "engines";
+  need.tokens = 3000;
+  need.rank = 2;
+  const auto grant = [&](std::uint64_t request, const RoomNeed& asked) {
+    const auto answers =
+        effects_of<AnswerRoom>(router.apply(RoomAsked{"vm-2", request, asked}));
+    REQUIRE(answers.size() == 1);
+    return answers[0].endpoint;
+  };
+  RoomNeed move = need;
+  move.is_move = true;
+  move.except = {"e1", "e2", "e3"};
+  CHECK(grant(1, move).empty());
+  CHECK(grant(2, need).empty());
+  RoomNeed urgent = need;
+  urgent.rank = 0;
+  CHECK_FALSE(grant(3, urgent).empty());
+  move.except = {"e1"};
+  CHECK_FALSE(grant(1, move).empty());
+  CHECK_FALSE(grant(2, need).empty());
+  move.except = {"e1", "e2", "e3"};
+  CHECK(grant(1, move).empty());
+  router.pass(400);
+  CHECK_FALSE(grant(2, need).empty());
+}
+
 TEST_CASE("a generation is not copied once the retry budget is used up",
           "[moves]") {
   SampleRouter router;
