--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -116,6 +116,8 @@
         self.counts = collections.Counter()
         self.next_request = 0
         self.not_run = set()
+        # Requests that failed: how, at which router and start of it.
+        self.failed = {}
         self.over = False
         # Spans in which the store or routers were harmed.
         self.unsettled_spans = []
@@ -227,8 +229,7 @@
             path = rng.choice(["/stream/x", "/stream/x", "/entry/x",
                                "/lookup/x"])
             boot = router.started
-            planned = router.stopping
-            kept = await self.exchange(connection, path, router, boot, planned)
+            kept = await self.exchange(connection, path, router, boot)
             if not kept:
                 connection[1].close()
                 connection = None
@@ -236,7 +237,7 @@
         if connection:
             connection[1].close()
 
-    async def exchange(self, connection, path, router, boot, planned):
+    async def exchange(self, connection, path, router, boot):
         """Sends one request and checks its answer. Returns whether the
         connection stays."""
         reader, writer = connection
@@ -250,13 +251,18 @@
                     self.counts["closed"] += 1
                     return False
                 self.counts[head.status] += 1
+                if head.status >= 500:
+                    self.failed[identity] = (str(head.status), router, boot)
                 if head.status in (503, 429, 408, 421):
                     self.not_run.add(identity)
                 answered = head.get("peridotreach-request-id")
                 if answered != identity:
                     self.breaks("own answer", f"{identity} got {answered}")
                 if head.get("transfer-encoding") == "chunked":
-                    return await self.read_stream(reader, identity, head)
+                    kept = await self.read_stream(reader, identity, head)
+                    if kept is None:
+                        self.failed[identity] = ("broken_off", router, boot)
+                    return kept
                 length = int(head.get("content-length", "0"))
                 body = (await reader.readexactly(length)).decode()
                 if head.status == 200 and not body.startswith(
@@ -279,7 +285,7 @@
             chunk = await read_chunk(reader)
             if chunk is None:
                 self.counts["stream broken off"] += 1
-                return False
+                return None
             if not chunk:
                 total = event_count(identity)
                 if expected != total:
@@ -447,6 +453,21 @@
             self.faults.append(asyncio.ensure_future(fault()))
             await asyncio.sleep(self.random.uniform(0.1, 1.2))
 
+    def check_logs(self):
+        """The fate of each failed request stands in the logs, unless its
+        router was killed or stopped meanwhile."""
+        outcomes = collections.defaultdict(set)
+        for router in self.routers:
+            with open(router.log, encoding="utf-8") as log:
+                for line in log:
+                    if '"message":"outcome"' in line:
+                        entry = json.loads(line)
+                        outcomes[entry.get("id")].add(entry["status"])
+        for identity, (fate, router, boot) in self.failed.items():
+            if router.started == boot and fate not in outcomes[identity]:
+                self.breaks("told by logs", f"{identity} at {router.name}: "
+                            f"{fate}, logged {sorted(outcomes[identity])}")
+
     def check_endpoints(self):
         """What endpoints saw, looked at after the run."""
         for router in self.routers:
@@ -489,6 +510,7 @@
             router.send(signal.SIGKILL)
             await router.ended()
         self.check_endpoints()
+        self.check_logs()
         return self.broken
 
     async def serves_again(self):
