--- a/src/libperidotreach/routing/engine_room.cc
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -3,6 +3,7 @@
 // answers are advice: a process that hears none places by its own view.
 
 #include <algorithm>
+#include <set>
 
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/peer_view.h"
@@ -130,6 +131,15 @@
                      });
 }
 
+// Returns how many processes may keep room: one in each availability zone.
+std::size_t keepers(const RoutingState& state) {
+  std::set<std::string> zones;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    zones.insert(endpoint.entry.zone);
+  }
+  return zones.size();
+}
+
 void note_move(RoutingState& state, const RoomAsked& event, bool has_room) {
   std::erase_if(state.waiting_moves, [&](const WaitingMove& move) {
     return move.until <= state.now ||
@@ -140,6 +150,25 @@
       {event.peer, event.request, event.need.service, state.now + kMoveWait});
 }
 
+// Counts a move once, however often it is tried within half a window. Returns
+// whether the retry budget has a place for it.
+bool count_move(const RoutingContext& context, const RoomAsked& event) {
+  RoutingState& state = context.state;
+  auto& counted = state.counted_moves;
+  std::erase_if(counted, [&](const CountedMove& move) {
+    return move.until <= state.now;
+  });
+  const bool is_counted =
+      std::any_of(counted.begin(), counted.end(), [&](const CountedMove& move) {
+        return move.peer == event.peer && move.request == event.request;
+      });
+  if (is_counted) return true;
+  if (!may_repeat(context, event.need.service, keepers(state))) return false;
+  counted.push_back(
+      {event.peer, event.request, state.now + state.self.retries.window / 2});
+  return true;
+}
+
 }  // namespace
 
 void on_room_asked(const RoutingContext& context, const RoomAsked& event) {
@@ -148,10 +177,15 @@
   // freed room goes to moves before new work; urgent work is short.
   const bool yields = !event.need.is_move && event.need.rank > 0 &&
                       has_waiting_move(state, event.need.service);
-  const std::string endpoint =
+  std::string endpoint =
       yields ? std::string()
              : choose_endpoint(state, need_of(state, event.need));
   if (event.need.is_move) note_move(state, event, !endpoint.empty());
+  if (event.need.is_move && !endpoint.empty() && !count_move(context, event)) {
+    record(context, "move_withheld", 0,
+           {{"peer", event.peer}, {"cause", "retry budget is used up"}});
+    endpoint.clear();
+  }
   context.effects.push_back(AnswerRoom{event.peer, event.request, endpoint});
   // What runs here is booked by this process itself.
   if (endpoint.empty() || event.peer == state.self.vm) return;
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -37,8 +37,10 @@
          found->second.engine->can_move;
 }
 
-// A move takes its place in the retry budget before it copies. Returns whether
-// it has one; a move that is tried again keeps its place while that counts.
+// The keeper of room counts the moves that it grants. One whose target was
+// chosen by the own view takes its place in the retry budget itself. Returns
+// whether it has one; a move that is tried again keeps its place while that
+// counts.
 bool has_budget(const RoutingContext& context, RequestState& request) {
   GenerationMove& move = request.move;
   const Millis now = context.state.now;
@@ -46,7 +48,9 @@
       move.counted_at != 0 &&
       now - move.counted_at < context.state.self.retries.window / 2;
   if (is_counted) return true;
-  if (!may_repeat(context, request.service)) return false;
+  if (!may_repeat(context, request.service, context.state.peers.size() + 1)) {
+    return false;
+  }
   move.counted_at = now;
   return true;
 }
@@ -258,15 +262,28 @@
     give_up_turn(context, key, request);
     return;
   }
-  if (!has_budget(context, request)) {
+  start_copy(context, key, request, target);
+}
+
+namespace {
+
+// The keeper of room is silent: chooses a target by the own view.
+void choose_alone(const RoutingContext& context, std::uint64_t key,
+                  RequestState& request) {
+  const EndpointNeed need =
+      need_of(context.state, room_of_move(context.state, request));
+  const std::string target = choose_endpoint(context.state, need);
+  if (!target.empty() && !has_budget(context, request)) {
     record(context, "move_withheld", key,
            {{"from", request.endpoint}, {"cause", "retry budget is used up"}});
     give_up_turn(context, key, request);
     return;
   }
-  start_copy(context, key, request, target);
+  on_target_chosen(context, key, request, target);
 }
 
+}  // namespace
+
 void plan_moves(const RoutingContext& context) {
   RoutingState& state = context.state;
   for (auto& [key, request] : state.requests) {
@@ -282,8 +299,7 @@
         request.move.phase == MovePhase::kChoosing &&
         state.now - request.move.choosing_since > kKeeperSilence;
     if (is_unheard) {
-      const EndpointNeed need = need_of(state, room_of_move(state, request));
-      on_target_chosen(context, key, request, choose_endpoint(state, need));
+      choose_alone(context, key, request);
       continue;
     }
     if (!wants_to_move(state, request)) continue;
--- a/src/libperidotreach/routing/output_length.cc
+++ b/src/libperidotreach/routing/output_length.cc
@@ -16,6 +16,10 @@
 // Finished generations of a route from which on they are weighed in.
 constexpr double kLeastLearned = 8;
 
+// Finished generations from which on older ones count half, so that the mean
+// follows a changed workload.
+constexpr std::uint32_t kMostRemembered = 256;
+
 // The least growth of an expectation that was overrun, so that it is not
 // overrun again at once.
 constexpr double kOverrunGrowth = 1.25;
@@ -37,14 +41,36 @@
 
 }  // namespace
 
-double expected_output(const LengthModel& lengths,
-                       const RequestState& request) {
+namespace {
+
+// Returns the mean output of the route's generations that the fleet finished;
+// 0 if too few have. A process of a large fleet finishes few itself.
+double fleet_mean(const RoutingState& state, const std::string& route) {
+  double generations = 0;
+  double tokens = 0;
+  const auto add = [&](const std::map<std::string, FinishedOutput>& outputs) {
+    const auto found = outputs.find(route);
+    if (found == outputs.end()) return;
+    generations += found->second.generations;
+    tokens += static_cast<double>(found->second.tokens);
+  };
+  add(state.finished);
+  for (const auto& [peer, outputs] : state.peer_finished) add(outputs);
+  return generations < kLeastLearned ? 0 : tokens / generations;
+}
+
+}  // namespace
+
+double expected_output(const RoutingState& state, const RequestState& request) {
+  const LengthModel& lengths = state.lengths;
   const CallerRequest& facts = request.facts;
   const double hint = facts.length_hint > 0
                           ? static_cast<double>(facts.length_hint)
                           : kExpectedShare * facts.most_output_tokens;
-  if (!has_learned(lengths, request)) return bounded(request, hint);
-  const double usual = mean_remaining(curve_of(lengths, request), 0);
+  const double usual = has_learned(lengths, request)
+                           ? mean_remaining(curve_of(lengths, request), 0)
+                           : fleet_mean(state, request.route.name);
+  if (usual <= 0) return bounded(request, hint);
   const double log_length = kHintWeight * std::log(std::max(1.0, hint)) +
                             (1 - kHintWeight) * std::log(std::max(1.0, usual));
   return bounded(request, std::exp(log_length));
@@ -60,10 +86,17 @@
   return std::max(produced, bounded(request, expected));
 }
 
-void learn_length(LengthModel& lengths, const RequestState& request,
+void learn_length(RoutingState& state, const RequestState& request,
                   double produced) {
-  observe_length(lengths, request.route.name, request.account,
-                 static_cast<std::uint32_t>(produced));
+  const auto tokens = static_cast<std::uint32_t>(produced);
+  observe_length(state.lengths, request.route.name, request.account, tokens);
+  FinishedOutput& output = state.finished[request.route.name];
+  output.route = request.route.name;
+  output.generations += 1;
+  output.tokens += tokens;
+  if (output.generations < kMostRemembered) return;
+  output.generations /= 2;
+  output.tokens /= 2;
 }
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/output_length.h
+++ b/src/libperidotreach/routing/output_length.h
@@ -11,7 +11,7 @@
 namespace peridotreach {
 
 // Returns the output tokens expected of a request before it runs.
-double expected_output(const LengthModel& lengths, const RequestState& request);
+double expected_output(const RoutingState& state, const RequestState& request);
 
 // Returns the output tokens expected of a running request that has produced
 // `produced` of them, more than was expected so far.
@@ -19,7 +19,7 @@
                               const RequestState& request, double produced);
 
 // Learns from a generation that ended.
-void learn_length(LengthModel& lengths, const RequestState& request,
+void learn_length(RoutingState& state, const RequestState& request,
                   double produced);
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -67,7 +67,7 @@
   return request.route.kind == CallKind::kIdempotent &&
          request.sent < request.route.attempts &&
          !is_overdue(context.state, request) &&
-         may_repeat(context, request.service);
+         may_repeat(context, request.service, context.state.peers.size() + 1);
 }
 
 void on_unreachable(const RoutingContext& context, std::uint64_t key,
@@ -242,10 +242,11 @@
   return static_cast<double>(request.events) * per_event;
 }
 
-bool may_repeat(const RoutingContext& context, const std::string& service) {
+bool may_repeat(const RoutingContext& context, const std::string& service,
+                std::size_t sharers) {
   RoutingState& state = context.state;
   PeerRepeats peers;
-  peers.processes = state.peers.size() + 1;
+  peers.sharers = sharers;
   for (const auto& [peer, told] : state.peer_repeats) {
     const auto found = told.services.find(service);
     if (found == told.services.end()) continue;
@@ -336,7 +337,7 @@
   if (route->kind == CallKind::kStream) {
     request.projected_tokens =
         facts.prompt_tokens +
-        static_cast<std::uint64_t>(expected_output(state.lengths, request));
+        static_cast<std::uint64_t>(expected_output(state, request));
   }
   note_request(state.budgets[request.service], state.self.retries, state.now);
   RequestState& kept =
@@ -390,7 +391,7 @@
               {"moves", std::to_string(request->moves)},
               {"ms", std::to_string(context.state.now - request->arrived)}});
       note_finished(context.state.suspects, request->facts.fingerprint);
-      learn_length(context.state.lengths, *request,
+      learn_length(context.state, *request,
                    produced_tokens(context.state, *request));
       context.effects.push_back(FinishStream{event.request});
       forget(context, event.request);
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -192,11 +192,21 @@
   bool operator==(const ServiceRepeats&) const = default;
 };
 
+// Finished generations of one route and the output tokens that they had.
+struct FinishedOutput {
+  std::string route;
+  std::uint32_t generations = 0;
+  std::uint64_t tokens = 0;
+
+  bool operator==(const FinishedOutput&) const = default;
+};
+
 // A peer told how it uses endpoints; replaces what it told before.
 struct PeerUseArrived {
   std::string peer;
   std::vector<EndpointUse> uses;
   std::vector<ServiceRepeats> repeats;
+  std::vector<FinishedOutput> finished;
   // Fingerprints of requests in flight when an endpoint died, with a count.
   std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
 };
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -182,6 +182,10 @@
   for (const ServiceRepeats& counts : event.repeats) {
     told.services[counts.service] = {counts.requests, counts.repeats};
   }
+  auto& finished = state.peer_finished[event.peer];
+  for (const FinishedOutput& output : event.finished) {
+    finished[output.route] = output;
+  }
   auto& suspects = state.peer_suspects[event.peer];
   suspects.clear();
   for (const auto& [fingerprint, deaths] : event.suspects) {
@@ -196,6 +200,7 @@
   const std::map<std::string, EndpointUse> touched = std::move(found->second);
   state.peers.erase(found);
   state.peer_suspects.erase(event.peer);
+  state.peer_finished.erase(event.peer);
   sum_peers(state, touched);
 }
 
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -154,6 +154,15 @@
   bool operator==(const WaitingMove&) const = default;
 };
 
+// A move that this process granted and counted on the retry budget.
+struct CountedMove {
+  std::string peer;
+  std::uint64_t request = 0;
+  Millis until = 0;
+
+  bool operator==(const CountedMove&) const = default;
+};
+
 // What a peer told of its repeats, by service.
 struct ToldRepeats {
   std::map<std::string, RepeatCounts> services;
@@ -176,8 +185,12 @@
   std::vector<GrantedRoom> granted;
   // Moves that this process, as the keeper of room, could not grant lately.
   std::vector<WaitingMove> waiting_moves;
+  std::vector<CountedMove> counted_moves;
   // Lengths of outputs by route and account.
   LengthModel lengths;
+  // Finished generations by route, here and as peers told.
+  std::map<std::string, FinishedOutput> finished;
+  std::map<std::string, std::map<std::string, FinishedOutput>> peer_finished;
   std::map<std::string, SharedRetryBudget> budgets;
   // Kept for a window after the peer was heard last.
   std::map<std::string, ToldRepeats> peer_repeats;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -50,8 +50,10 @@
 // Returns the output tokens that a generation has produced.
 double produced_tokens(const RoutingState& state, const RequestState& request);
 
-// Takes one repeat of the service from the budget.
-bool may_repeat(const RoutingContext& context, const std::string& service);
+// Takes one repeat of the service from the budget that `sharers` processes
+// draw on at the same time.
+bool may_repeat(const RoutingContext& context, const std::string& service,
+                std::size_t sharers);
 
 // Sends the request to `endpoint`; `source` names the memory it goes on from.
 void start_attempt(const RoutingContext& context, std::uint64_t key,
--- a/src/libperidotreach/routing/shared_retry_budget.cc
+++ b/src/libperidotreach/routing/shared_retry_budget.cc
@@ -45,7 +45,7 @@
       kBudgetMargin * most -
       (static_cast<double>(own.repeats + peers.counts.repeats) - untold);
   const auto sharers =
-      static_cast<double>(std::max<std::size_t>(peers.processes, 1));
+      static_cast<double>(std::max<std::size_t>(peers.sharers, 1));
   if (untold + 1 > left / sharers) return false;
   budget.repeats.push_back(now);
   return true;
--- a/src/libperidotreach/routing/shared_retry_budget.h
+++ b/src/libperidotreach/routing/shared_retry_budget.h
@@ -49,8 +49,8 @@
 
 // What the other processes have told.
 struct PeerRepeats {
-  // Processes in the fleet, this one among them.
-  std::size_t processes = 1;
+  // Processes that draw on the budget at the same time, this one among them.
+  std::size_t sharers = 1;
   RepeatCounts counts;
 
   bool operator==(const PeerRepeats&) const = default;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -101,6 +101,12 @@
     cell.set_requests(counts.requests);
     cell.set_repeats(counts.repeats);
   }
+  for (const FinishedOutput& output : own.finished) {
+    proto::FinishedCell& cell = *digest.add_finished();
+    cell.set_route(output.route);
+    cell.set_generations(output.generations);
+    cell.set_tokens(output.tokens);
+  }
   for (const auto& [fingerprint, deaths] : own.suspects) {
     proto::SuspectCell& cell = *digest.add_suspects();
     cell.set_fingerprint(fingerprint);
@@ -333,6 +339,9 @@
   for (const proto::RepeatCell& cell : digest.repeats()) {
     use.repeats.push_back({cell.service(), cell.requests(), cell.repeats()});
   }
+  for (const proto::FinishedCell& cell : digest.finished()) {
+    use.finished.push_back({cell.route(), cell.generations(), cell.tokens()});
+  }
   for (const proto::SuspectCell& cell : digest.suspects()) {
     use.suspects.emplace_back(cell.fingerprint(), cell.deaths());
   }
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -37,6 +37,7 @@
   bool reads_store = true;
   std::vector<EndpointUse> uses;
   std::vector<ServiceRepeats> repeats;
+  std::vector<FinishedOutput> finished;
   std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
 
   bool operator==(const OwnDigest&) const = default;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -179,6 +179,9 @@
                            counts.requests / kToldRequests * kToldRequests,
                            counts.repeats});
   }
+  for (const auto& [route, output] : state_.finished) {
+    own.finished.push_back(output);
+  }
   for (const auto& [fingerprint, suspect] : state_.suspects.suspects) {
     own.suspects.emplace_back(fingerprint, suspect.deaths);
   }
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -110,6 +110,34 @@
   CHECK(effects_of<DropAttempt>(effects)[0].request == request);
 }
 
+TEST_CASE("lengths that peers have seen correct a hint", "[routing]") {
+  SampleRouter router;
+  CallerRequest facts;
+  facts.host = "example.test";
+  facts.path = "/stream/1";
+  facts.key = "key-1";
+  facts.prompt_tokens = 100;
+  facts.most_output_tokens = 1600;
+  facts.length_hint = 1600;
+  const auto projected = [&](std::uint64_t key) {
+    router.apply(RequestArrived{key, facts});
+    return router.state.requests.at(key).projected_tokens;
+  };
+  CHECK(projected(901) == 1700);
+  PeerUseArrived peer;
+  peer.peer = "vm-2";
+  peer.finished = {{"stream", 4, 1600}};
+  router.apply(peer);
+  CHECK(projected(902) == 1700);
+  peer.peer = "vm-3";
+  router.apply(peer);
+  const auto corrected = projected(903);
+  CHECK(corrected > 600);
+  CHECK(corrected < 1000);
+  router.apply(PeerLost{"vm-3"});
+  CHECK(projected(904) == 1700);
+}
+
 TEST_CASE("the endpoint stops when the caller leaves", "[routing]") {
   SampleRouter router;
   const auto request = router.request("/stream/1");
--- a/tests/routing/shared_retry_budget_test.cc
+++ b/tests/routing/shared_retry_budget_test.cc
@@ -44,7 +44,7 @@
  private:
   PeerRepeats others(std::size_t self) const {
     PeerRepeats peers;
-    peers.processes = budgets_.size();
+    peers.sharers = budgets_.size();
     for (std::size_t i = 0; i < told_.size(); ++i) {
       if (i == self) continue;
       peers.counts.requests += told_[i].requests;
