Keep room for brief streams, whatever their rank

Cause: room was kept for requests of rank 0 only, and only they went to an engine while still in time.

Change: a request is favoured if it is of the first rank or its expected output is under a twentieth of its prompt, so that it holds memory for a moment only.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -175,13 +175,21 @@
   return endpoint.own.breaks * std::exp2(-age / kBreakHalfLife);
 }
 
+bool is_favoured(const RoomNeed& room) {
+  // Output for which a brief request holds its memory, beside its prompt: a
+  // twentieth is written in about the time that reading the prompt takes.
+  constexpr std::uint64_t kBriefPart = 20;
+  if (room.rank == 0) return true;
+  return room.tokens < room.unread_tokens + room.unread_tokens / kBriefPart;
+}
+
 double most_memory(const RoomNeed& room) {
   constexpr double kMostMemoryMoved = 1.1;
-  constexpr double kMostMemoryUrgent = 1.05;
+  constexpr double kMostMemoryFavoured = 1.05;
   constexpr double kMostMemory = 0.97;
   constexpr double kLateShare = 0.87;
   if (room.is_move) return kMostMemoryMoved;
-  const double most = room.rank == 0 ? kMostMemoryUrgent : kMostMemory;
+  const double most = is_favoured(room) ? kMostMemoryFavoured : kMostMemory;
   return room.is_late ? kLateShare * most : most;
 }
 
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -53,9 +53,13 @@
 // Returns the decayed number of recent breaks.
 double breaks_at(const EndpointState& endpoint, Millis now);
 
+// Returns whether a request has room kept for it: it is of the first rank, or
+// so brief that it holds memory for a moment only.
+bool is_favoured(const RoomNeed& room);
+
 // Returns the most that may be projected in use of an engine's memory when a
-// request of `rank` is placed. Room is kept for what is more urgent, and for
-// what can still be answered in time.
+// request is placed. Room is kept for what is favoured, and for what can still
+// be answered in time.
 double most_memory(const RoomNeed& room);
 
 // Notes that an endpoint could not be connected to, which ejects it.
--- a/src/libperidotreach/routing/engine_room.cc
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -42,13 +42,13 @@
 constexpr Millis kGrantLife = 350;
 
 // Objectives that a request waits for room before it goes to an endpoint all
-// the same; callers wait for four. Urgent ones go while they are in time.
+// the same; callers wait for four. Favoured ones go while they are in time.
 constexpr double kLongestWait = 3.6;
 
-Millis longest_wait(const RequestState& request) {
+Millis longest_wait(const RequestState& request, const RoomNeed& room) {
   const Millis objective = request.route.objective;
   const Millis patience =
-      request.rank == 0
+      is_favoured(room)
           ? objective - kTimeToFirstEvent
           : static_cast<Millis>(kLongestWait * static_cast<double>(objective));
   return std::min(request.arrived + patience,
@@ -81,14 +81,14 @@
   return need;
 }
 
-namespace {
-
 RoomNeed room_of(const RoutingState& state, const RequestState& request) {
   return {
       request.service, request.projected_tokens, request.facts.prompt_tokens,
       request.rank,    state.self.zone,          is_late(state, request)};
 }
 
+namespace {
+
 void ask_room(const RoutingContext& context, std::uint64_t key,
               RequestState& request) {
   request.room_asked = context.state.now;
@@ -103,17 +103,18 @@
   const bool may_wait = request.route.kind == CallKind::kStream &&
                         request.sent == 0 && request.attempt == 0;
   if (!may_wait) return false;
-  if (now >= longest_wait(request)) return false;
+  const RoomNeed room = room_of(context.state, request);
+  const Millis until = longest_wait(request, room);
+  if (now >= until) return false;
   if (request.waits_until == 0) {
-    request.waits_until = longest_wait(request);
+    request.waits_until = until;
     request.room_heard = now;
     ask_room(context, key, request);
     return true;
   }
   if (now - request.room_heard > kKeeperSilence &&
       request.room_asked > request.room_heard) {
-    const EndpointNeed need =
-        need_of(context.state, room_of(context.state, request));
+    const EndpointNeed need = need_of(context.state, room);
     return choose_endpoint(context.state, need).empty();
   }
   if (now - request.room_asked >= kAskInterval) {
@@ -174,8 +175,8 @@
 void on_room_asked(const RoutingContext& context, const RoomAsked& event) {
   RoutingState& state = context.state;
   // What runs already has cost memory and time that would be lost with it, so
-  // freed room goes to moves before new work; urgent work is short.
-  const bool yields = !event.need.is_move && event.need.rank > 0 &&
+  // freed room goes to moves before new work that is not favoured.
+  const bool yields = !event.need.is_move && !is_favoured(event.need) &&
                       has_waiting_move(state, event.need.service);
   std::string endpoint =
       yields ? std::string()
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -473,7 +473,9 @@
 void place_waiting_requests(const RoutingContext& context) {
   std::vector<std::pair<std::uint32_t, std::uint64_t>> waiting;
   for (const auto& [key, request] : context.state.requests) {
-    if (request.waits_until != 0) waiting.emplace_back(request.rank, key);
+    if (request.waits_until == 0) continue;
+    const bool favoured = is_favoured(room_of(context.state, request));
+    waiting.emplace_back(favoured ? 0 : request.rank, key);
   }
   std::sort(waiting.begin(), waiting.end());
   for (const auto& [rank, key] : waiting) {
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -74,6 +74,8 @@
 // Room at engines (engine_room.cc).
 void on_room_asked(const RoutingContext& context, const RoomAsked& event);
 void on_room_answered(const RoutingContext& context, const RoomAnswered& event);
+// Returns what a request that has not run needs.
+RoomNeed room_of(const RoutingState& state, const RequestState& request);
 // Returns what to choose an endpoint by for `room`.
 EndpointNeed need_of(const RoutingState& state, const RoomNeed& room);
 // Finds an endpoint for a stream, or has it wait for room. Returns whether it
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -159,6 +159,9 @@
   RoomNeed urgent = need;
   urgent.rank = 0;
   CHECK_FALSE(grant(3, urgent).empty());
+  RoomNeed brief = need;
+  brief.unread_tokens = 2990;
+  CHECK_FALSE(grant(4, brief).empty());
   move.except = {"e1"};
   CHECK_FALSE(grant(1, move).empty());
   CHECK_FALSE(grant(2, need).empty());
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -110,6 +110,38 @@
   CHECK(effects_of<DropAttempt>(effects)[0].request == request);
 }
 
+TEST_CASE("a brief stream goes while it is in time, a long one waits",
+          "[routing]") {
+  SampleRouter router;
+  PeerUseArrived full;
+  full.peer = "vm-2";
+  for (const char* id : {"e1", "e2", "e3"}) {
+    full.uses.push_back({id, 8, 40000});
+  }
+  router.apply(full);
+  CallerRequest facts;
+  facts.host = "example.test";
+  facts.path = "/stream/1";
+  facts.key = "key-1";
+  facts.prompt_tokens = 2000;
+  facts.most_output_tokens = facts.length_hint = 8;
+  router.apply(RequestArrived{901, facts});
+  facts.most_output_tokens = facts.length_hint = 800;
+  router.apply(RequestArrived{902, facts});
+  const auto hear_nothing_free = [&] {
+    router.now += 60;
+    router.answer_room(router.apply(RoutingTicked{}));
+    router.apply(RoomAnswered{901, ""});
+    router.apply(RoomAnswered{902, ""});
+  };
+  while (router.now < 1000 + 3300) hear_nothing_free();
+  CHECK(effects_of<StartAttempt>(router.effects).empty());
+  while (router.now < 1000 + 3600) hear_nothing_free();
+  const auto starts = effects_of<StartAttempt>(router.effects);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].request == 901);
+}
+
 TEST_CASE("lengths that peers have seen correct a hint", "[routing]") {
   SampleRouter router;
   CallerRequest facts;
