--- a/scripts/check_model.sh
+++ b/scripts/check_model.sh
@@ -9,7 +9,7 @@
 trap 'rm -rf "$folder"' EXIT
 models=("$@")
 if [ ${#models[@]} -eq 0 ]; then
-  models=(sessions config orders stream handover)
+  models=(sessions config orders stream handover move)
 fi
 failures=0
 passed=0
