Ask engines whether they leave while no process reaches the store

Ruled out: crashes (the engines were gone two seconds after the planned notices) and room (memory was free).

Change: while no living process reaches the store, the engines in use are asked for their state every 300 ms, each by the one process that keeps its turns; the finder tells all.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -175,6 +175,12 @@
   return endpoint.own.breaks * std::exp2(-age / kBreakHalfLife);
 }
 
+bool is_engine(const RoutingState& state, const std::string& service) {
+  if (!state.manifest) return false;
+  const auto found = state.manifest->services.find(service);
+  return found != state.manifest->services.end() && found->second.engine;
+}
+
 bool is_favoured(const RoomNeed& room) {
   // Output for which a brief request holds its memory, beside its prompt: a
   // twentieth is written in about the time that reading the prompt takes.
--- a/src/libperidotreach/routing/peer_view.cc
+++ b/src/libperidotreach/routing/peer_view.cc
@@ -45,6 +45,9 @@
   peer.record = record;
   peer.ready = condition.ready;
   peer.stopping = condition.stopping;
+  const bool lost_now = !condition.reads_store && peer.store_lost == 0;
+  if (condition.reads_store) peer.store_lost = 0;
+  if (lost_now) peer.store_lost = now;
   peer.reads_store = condition.reads_store;
   peer.heard = now;
   return is_new;
@@ -97,6 +100,21 @@
   return keeper;
 }
 
+bool store_is_away(const PeerView& view, bool reads_store, Millis now) {
+  if (reads_store) return false;
+  return std::none_of(
+      view.peers.begin(), view.peers.end(), [&](const auto& entry) {
+        return is_alive(entry.second, now) && entry.second.reads_store;
+      });
+}
+
+bool peer_lost_store(const PeerView& view, Millis since, Millis now) {
+  return std::any_of(
+      view.peers.begin(), view.peers.end(), [&](const auto& entry) {
+        return is_alive(entry.second, now) && entry.second.store_lost > since;
+      });
+}
+
 std::vector<std::string> forget_peers(PeerView& view, Millis now) {
   std::vector<std::string> forgotten;
   for (const auto& [vm, peer] : view.peers) {
--- a/src/libperidotreach/routing/peer_view.h
+++ b/src/libperidotreach/routing/peer_view.h
@@ -42,6 +42,8 @@
   bool stopping = false;
   // Its calls to the store succeed.
   bool reads_store = false;
+  // Since when they fail; 0 if they succeed or nothing was heard yet.
+  Millis store_lost = 0;
   Millis first_known = 0;
   // 0 if it was never heard.
   Millis heard = 0;
@@ -92,6 +94,13 @@
 bool follows_tables(const PeerView& view, const PeerRecord& self,
                     bool reads_store, Millis now);
 
+// Returns whether no process that is alive reaches the store, as far as they
+// have told.
+bool store_is_away(const PeerView& view, bool reads_store, Millis now);
+
+// Returns whether a peer that is alive has lost the store later than `since`.
+bool peer_lost_store(const PeerView& view, Millis since, Millis now);
+
 // Forgets peers that are neither listed nor heard. Returns their names.
 std::vector<std::string> forget_peers(PeerView& view, Millis now);
 
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -51,6 +51,11 @@
   std::string id;
 };
 
+// An endpoint said itself that it leaves.
+struct EndpointNotice {
+  std::string id;
+};
+
 // Calls to the store fail, or succeed again.
 struct StoreSeen {
   bool is_reachable = true;
@@ -223,8 +228,8 @@
 struct RoutingEvent {
   Millis at = 0;
   std::uint64_t random = 0;
-  std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, StoreSeen,
-               AllowanceChanged, RequestArrived, CallerDisconnected,
+  std::variant<ManifestTaken, EndpointListed, EndpointUnlisted, EndpointNotice,
+               StoreSeen, AllowanceChanged, RequestArrived, CallerDisconnected,
                AttemptEnded, StreamOpened, StreamEventArrived, CopyAnswered,
                TurnGranted, TurnQueued, RoomAsked, RoomAnswered, PeerUseArrived,
                PeerLost, RoutingTicked>
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -96,6 +96,13 @@
   }
 }
 
+void apply(const RoutingContext& context, const EndpointNotice& event) {
+  EndpointState* endpoint = find_endpoint(context, event.id);
+  if (endpoint == nullptr) return;
+  start_leaving(context, *endpoint, "told by itself");
+  plan_moves(context);
+}
+
 void apply(const RoutingContext& context, const StoreSeen& event) {
   RoutingState& state = context.state;
   if (event.is_reachable == state.store_reachable) return;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -234,6 +234,19 @@
   }
 }
 
+void PeerExchange::tell_notice(const std::string& endpoint) {
+  proto::Envelope message = envelope();
+  message.set_endpoint_leaving(endpoint);
+  for (const auto& [vm, peer] : view_.peers) {
+    if (vm != self_.vm) send(peer.record.link, message);
+  }
+}
+
+bool PeerExchange::asks_endpoint(const std::string& endpoint,
+                                 Millis now) const {
+  return turn_keeper(view_, self_.vm, endpoint, now) == self_.vm;
+}
+
 void PeerExchange::ask_room(const AskRoom& ask, Millis now) {
   const std::string keeper = room_keeper(view_, self_, ask.need.service, now);
   if (keeper == self_.vm) {
@@ -439,6 +452,10 @@
     link_.reply(from, answer);
     return;
   }
+  if (message.body_case() == proto::Envelope::kEndpointLeaving) {
+    handlers_.on_notice(EndpointNotice{message.endpoint_leaving()});
+    return;
+  }
   if (message.has_turn()) {
     answer_turn(message.vm(), message.turn(), now);
     return;
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -49,6 +49,7 @@
   std::function<void(const std::string& vm)> on_lost;
   std::function<void(const TurnGranted&)> on_turn;
   std::function<void(const TurnQueued&)> on_queued;
+  std::function<void(const EndpointNotice&)> on_notice;
   std::function<void(const RoomAsked&)> on_room_asked;
   std::function<void(const RoomAnswered&)> on_room_answered;
   std::function<void(const std::string& table, const SharedTableState&)>
@@ -104,6 +105,13 @@
   void ask_room(const AskRoom& ask, Millis now);
   void answer_room(const AnswerRoom& answer);
 
+  // Tells all peers that an endpoint leaves, as it said itself.
+  void tell_notice(const std::string& endpoint);
+
+  // Returns whether this process asks `endpoint` for its state while the store
+  // is away.
+  bool asks_endpoint(const std::string& endpoint, Millis now) const;
+
   PeerView& view() { return view_; }
   const PeerView& view() const { return view_; }
   const PeerRecord& self() const { return self_; }
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -32,6 +32,11 @@
 
 constexpr Millis kFreeTimeout = kSecond;
 
+// Interval at which engines are asked for their state while the store is away,
+// a sixth of the shortest notice that they give, and the time for an answer.
+constexpr Millis kReportInterval = 300;
+constexpr Millis kReportTimeout = 500;
+
 // Breaks below this are not told to peers.
 constexpr double kLeastToldBreaks = 0.25;
 
@@ -70,6 +75,7 @@
               [this](const std::string& vm) { post(PeerLost{vm}); },
               [this](const TurnGranted& turn) { post(turn); },
               [this](const TurnQueued& turn) { post(turn); },
+              [this](const EndpointNotice& notice) { post(notice); },
               [this](const RoomAsked& room) { post(room); },
               [this](const RoomAnswered& room) { post(room); },
               [this](const std::string& table, const SharedTableState& state) {
@@ -153,9 +159,35 @@
     peers_.tick(own_digest(), now);
     flush_log();
     if (stopping()) tend_stop(now);
+    ask_endpoints(now);
+  }
+}
+
+// While no process reaches the store, nobody hears which engines leave. Those
+// that are in use are asked, each by one process.
+void RouterNode::ask_endpoints(Millis now) {
+  if (!store_is_away(peers_.view(), reads_store_, now)) return;
+  if (now - endpoints_asked_ < kReportInterval) return;
+  endpoints_asked_ = now;
+  for (const auto& [id, endpoint] : state_.endpoints) {
+    const bool is_used = endpoint.own.running + endpoint.peers.running > 0;
+    if (!is_used || endpoint.leaving_since != 0) continue;
+    if (!is_engine(state_, endpoint.entry.service)) continue;
+    if (!peers_.asks_endpoint(id, now)) continue;
+    co_spawn(io_, ask_endpoint(id), asio::detached);
   }
 }
 
+awaitable<void> RouterNode::ask_endpoint(std::string id) {
+  const EndpointEntry& entry = state_.endpoints.at(id).entry;
+  const HttpTarget target{entry.address, entry.port};
+  const ClientAnswer answer =
+      co_await exchange(io_, target, wire_.report_request(), kReportTimeout);
+  if (!answer.answered || !wire_.decode_report(answer.body).leaving) co_return;
+  peers_.tell_notice(id);
+  post(EndpointNotice{id});
+}
+
 OwnDigest RouterNode::own_digest() const {
   OwnDigest own;
   own.ready = ready();
@@ -257,6 +289,10 @@
   post(StoreSeen{reads});
 }
 
+bool RouterNode::doubts_store(Millis since) const {
+  return reads_store_ && peer_lost_store(peers_.view(), since, monotonic_now());
+}
+
 void RouterNode::reload(const RouterSettings& settings) {
   settings_.retries = settings.retries;
   settings_.stop_grace = settings.stop_grace;
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -56,6 +56,10 @@
   // Whether calls to the store succeed.
   void set_reads_store(bool reads);
 
+  // Whether a peer has lost the store later than `since`, when it was tried
+  // last.
+  bool doubts_store(Millis since) const;
+
   // Takes those settings that may change while the process runs.
   void reload(const RouterSettings& settings);
 
@@ -107,6 +111,8 @@
   OwnDigest own_digest() const;
   bool ready() const;
   void tend_stop(Millis now);
+  void ask_endpoints(Millis now);
+  awaitable<void> ask_endpoint(std::string id);
 
   using AttemptKey = std::pair<std::uint64_t, std::uint32_t>;
 
@@ -128,6 +134,7 @@
   std::uint64_t next_request_ = 1;
   CallerLimits default_limits_;
   Millis stopping_since_ = 0;
+  Millis endpoints_asked_ = 0;
   std::function<void()> on_stopped_;
 };
 
--- a/src/peridot-router/wire_format.h
+++ b/src/peridot-router/wire_format.h
@@ -42,6 +42,12 @@
   std::int64_t events_made = 0;
 };
 
+// What an engine reports of itself.
+struct EngineReport {
+  // It stops taking work, or will be gone within seconds.
+  bool leaving = false;
+};
+
 struct WireFormat {
   std::function<CallerRequest(const RawRequest&)> decode_request;
   // The request as the endpoint gets it.
@@ -58,6 +64,8 @@
       copy_request;
   std::function<CopyFacts(const std::string& body)> decode_copy;
   std::function<ClientRequest(const FreeCopy&)> free_request;
+  std::function<ClientRequest()> report_request;
+  std::function<EngineReport(const std::string& body)> decode_report;
   // The answer to the question which addresses to use.
   std::function<HttpResponse(const std::vector<std::string>& addresses,
                              Millis life)>
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -130,6 +130,17 @@
   fuzz(kSettings, [](const std::string& text) { decode_settings(text); });
 }
 
+TEST_CASE("an engine's report tells whether it leaves", "[platform]") {
+  const WireFormat wire = make_wire_format();
+  CHECK(wire.decode_report(R"({"state":"draining"})").leaving);
+  CHECK(wire.decode_report(R"({"state":"ready","leaves_ms":1800})").leaving);
+  CHECK_FALSE(
+      wire.decode_report(R"({"state":"ready","leaves_ms":600000})").leaving);
+  CHECK_FALSE(wire.decode_report(R"({"state":"ready"})").leaving);
+  CHECK_FALSE(wire.decode_report(R"({"state":7,"leaves_ms":"x"})").leaving);
+  CHECK_FALSE(wire.decode_report("{").leaving);
+}
+
 TEST_CASE("changed settings that take a restart are named", "[platform]") {
   const auto read = decode_settings(kSettings);
   REQUIRE(ok(read));
--- a/tests/routing/store_return_test.cc
+++ b/tests/routing/store_return_test.cc
@@ -67,6 +67,15 @@
   CHECK_FALSE(is_listed(router, "e3"));
 }
 
+TEST_CASE("an endpoint that says itself that it leaves gets no new work",
+          "[routing]") {
+  SampleRouter router;
+  router.apply(EndpointNotice{"e1"});
+  router.apply(EndpointNotice{"none"});
+  CHECK_FALSE(is_listed(router, "e1"));
+  CHECK(router.state.endpoints.at("e1").listed);
+}
+
 TEST_CASE("a changed allowance holds for the next repeat", "[routing]") {
   SampleRouter router;
   RetryAllowance none = router.state.self.retries;
--- a/tests/routing/tables_test.cc
+++ b/tests/routing/tables_test.cc
@@ -47,6 +47,23 @@
   CHECK(caller_addresses(view, nullptr, "b", 9000).empty());
 }
 
+TEST_CASE("the store is away when no process that is alive reaches it",
+          "[peers]") {
+  PeerView view;
+  hear_peer(view, record("b1", "b"), {true, false, true}, 1000);
+  hear_peer(view, record("c1", "c"), {true, false, false}, 1000);
+  CHECK_FALSE(store_is_away(view, false, 1000));
+  CHECK(peer_lost_store(view, 900, 1000));
+  CHECK_FALSE(peer_lost_store(view, 1000, 1000));
+  hear_peer(view, record("b1", "b"), {true, false, false}, 1500);
+  CHECK(store_is_away(view, false, 1500));
+  CHECK_FALSE(store_is_away(view, true, 1500));
+  CHECK(peer_lost_store(view, 1000, 1500));
+  hear_peer(view, record("b1", "b"), {true, false, false}, 1700);
+  CHECK_FALSE(peer_lost_store(view, 1500, 1700));
+  CHECK(store_is_away(view, false, 9000));
+}
+
 TEST_CASE("a peer that is unlisted but heard stays", "[peers]") {
   PeerView view;
   list_peer(view, record("b1", "b"), 1000);
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -77,6 +77,12 @@
             writer.write(encode("HTTP/1.1 200 OK", []))
             await writer.drain()
             return
+        if request.target == "/api/report":
+            state = "draining" if self.leaving_since else "ready"
+            writer.write(encode("HTTP/1.1 200 OK", [],
+                                json.dumps({"state": state}).encode()))
+            await writer.drain()
+            return
         if request.target == "/api/kv-move":
             await self._copy(request, writer)
             return
