--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -164,12 +164,7 @@
   turn.set_kind(proto::TurnMessage::ASK);
   turn.set_endpoint(ask.endpoint);
   turn.set_request(ask.request);
-  const std::string keeper = turn_keeper(view_, self_.vm, ask.endpoint, now);
-  if (keeper != self_.vm) {
-    send_turn(keeper, turn);
-    return;
-  }
-  answer_turn(self_.vm, turn, now);
+  pass_to_keeper(turn, now);
 }
 
 void PeerExchange::end_turn(const EndTurn& end, Millis now) {
@@ -177,7 +172,11 @@
   turn.set_kind(proto::TurnMessage::END);
   turn.set_endpoint(end.endpoint);
   turn.set_request(end.request);
-  const std::string keeper = turn_keeper(view_, self_.vm, end.endpoint, now);
+  pass_to_keeper(turn, now);
+}
+
+void PeerExchange::pass_to_keeper(const proto::TurnMessage& turn, Millis now) {
+  const std::string keeper = turn_keeper(view_, self_.vm, turn.endpoint(), now);
   if (keeper != self_.vm) {
     send_turn(keeper, turn);
     return;
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -127,6 +127,7 @@
   void take_room(const std::string& vm, const proto::RoomMessage& room);
   void tell_granted(const GrantedTurn& granted);
   void send_turn(const std::string& vm, const proto::TurnMessage& turn);
+  void pass_to_keeper(const proto::TurnMessage& turn, Millis now);
   void push_changes(bool reads_store, Millis now);
   void take_change(const proto::TableChange& change, const std::string& link,
                    Millis now);
