--- a/tests/routing/routing_property_test.cc
+++ b/tests/routing/routing_property_test.cc
@@ -33,10 +33,13 @@
   explicit World(std::uint32_t seed) : random_(seed) {}
 
   void run() {
+    change_allowance();
     for (int i = 0; i < kSteps; ++i) step();
     finish();
   }
 
+  int budgets_checked() const { return checked_; }
+
  private:
   std::uint64_t draw(std::uint64_t bound) { return random_() % bound; }
 
@@ -55,6 +58,7 @@
 
   void step() {
     if (draw(3) != 0) answer_room();
+    if (draw(6) == 0) hear();
     switch (draw(10)) {
       case 0:
       case 1:
@@ -150,6 +154,56 @@
     send(EndpointListed{entry});
   }
 
+  // Windows are short, so that sequences pass several of them.
+  void change_allowance() {
+    send(AllowanceChanged{{0.1 * static_cast<double>(draw(4)),
+                           static_cast<double>(draw(8)), kSecond}});
+  }
+
+  // News of the store, of endpoints and of peers.
+  void hear() {
+    const char* const ids[] = {"e1", "e2", "e3", "p1", "none"};
+    switch (draw(6)) {
+      case 0:
+        send(StoreSeen{draw(2) == 0});
+        return;
+      case 1:
+        send(EndpointNotice{ids[draw(5)]});
+        return;
+      case 2:
+        if (draw(12) == 0) change_allowance();
+        return;
+      case 3: {
+        RoomNeed need;
+        need.service = "engines";
+        need.tokens = 100 + draw(9000);
+        need.unread_tokens = draw(need.tokens);
+        need.rank = static_cast<std::uint32_t>(draw(3));
+        need.is_move = draw(2) == 0;
+        need.is_late = draw(2) == 0;
+        const std::size_t before =
+            router_.state.budgets["engines"].repeats.size();
+        send(RoomAsked{"vm-2", draw(20), need});
+        const std::size_t after =
+            router_.state.budgets["engines"].repeats.size();
+        if (!need.is_move) CHECK(after <= before);
+        return;
+      }
+      case 4:
+        send(PeerLost{"vm-2"});
+        return;
+      default:
+        PeerUseArrived use;
+        use.peer = "vm-2";
+        use.uses = {{ids[draw(3)], 2, draw(20000)}};
+        use.repeats = {{"engines", static_cast<std::uint32_t>(draw(50)),
+                        static_cast<std::uint32_t>(draw(50))}};
+        use.finished = {
+            {"stream", static_cast<std::uint32_t>(draw(50)), draw(20000)}};
+        send(use);
+    }
+  }
+
   void answer_copy() {
     for (const auto& [key, request] : router_.state.requests) {
       const MovePhase phase = request.move.phase;
@@ -202,6 +256,30 @@
           (seen.kind == CallKind::kStream ? "engines" : "plain"));
     seen.may_have_run += 1;
     seen.open.insert(effect.attempt);
+    check_budget(target.entry.service);
+  }
+
+  // What this process repeats stays within what the whole fleet may. Counts
+  // from before a change of the allowance may lie above it.
+  void check_budget(const std::string& service) {
+    const RetryAllowance& allowance = router_.state.self.retries;
+    if (!(allowance == allowance_)) {
+      allowance_ = allowance;
+      allowed_since_ = router_.now;
+    }
+    if (router_.now - allowed_since_ < allowance.window) return;
+    const RepeatCounts own =
+        counts_at(router_.state.budgets[service], allowance, router_.now);
+    std::uint32_t requests = own.requests;
+    for (const auto& [peer, told] : router_.state.peer_repeats) {
+      const auto found = told.services.find(service);
+      if (found != told.services.end()) requests += found->second.requests;
+    }
+    // Peers may have told more a moment ago.
+    constexpr std::uint32_t kMostTold = 50;
+    CHECK(own.repeats <=
+          allowance.ratio * (requests + kMostTold) + allowance.slack);
+    checked_ += 1;
   }
 
   void look(const DropAttempt& effect) {
@@ -258,16 +336,22 @@
   std::map<std::uint64_t, std::int64_t> events_;
   std::set<std::pair<std::uint64_t, std::uint32_t>> opened_;
   std::set<std::uint64_t> left_;
+  RetryAllowance allowance_;
+  Millis allowed_since_ = 0;
+  int checked_ = 0;
   std::vector<std::uint64_t> asked_;
 };
 
 TEST_CASE("random faults never break what the router promises",
           "[routing][property]") {
+  int budgets_checked = 0;
   for (std::uint32_t seed = 1; seed <= kSequences; ++seed) {
     INFO("seed " << seed);
     World world(seed);
     world.run();
+    budgets_checked += world.budgets_checked();
   }
+  CHECK(budgets_checked > 100);
 }
 
 }  // namespace
