--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -192,21 +192,10 @@
 double most_memory(const RoomNeed& room) {
   constexpr double kMostMemoryMoved = 1.1;
   constexpr double kMostMemoryFavoured = 1.05;
-  constexpr double kMostMemoryShort = 1.0;
-  constexpr double kMostMemoryLong = 0.85;
-  constexpr double kLongOutput = 1800;
+  constexpr double kMostMemory = 0.97;
   constexpr double kLateShare = 0.87;
   if (room.is_move) return kMostMemoryMoved;
-  // A generation holds memory for as long as it is long, so a long one takes
-  // several times as much of an engine for each unit of its worth. When memory
-  // is short, shorter ones go first.
-  const auto output = static_cast<double>(
-      room.tokens - std::min<std::uint64_t>(room.tokens, room.unread_tokens));
-  const double length = std::min(1.0, output / kLongOutput);
-  const double most =
-      is_favoured(room)
-          ? kMostMemoryFavoured
-          : kMostMemoryShort + length * (kMostMemoryLong - kMostMemoryShort);
+  const double most = is_favoured(room) ? kMostMemoryFavoured : kMostMemory;
   return room.is_late ? kLateShare * most : most;
 }
 
