--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -174,15 +174,15 @@
     if (!is_used || endpoint.leaving_since != 0) continue;
     if (!is_engine(state_, endpoint.entry.service)) continue;
     if (!peers_.asks_endpoint(id, now)) continue;
-    co_spawn(io_, ask_endpoint(id), asio::detached);
+    const HttpTarget target{endpoint.entry.address, endpoint.entry.port};
+    co_spawn(io_, ask_endpoint(id, target), asio::detached);
   }
 }
 
-awaitable<void> RouterNode::ask_endpoint(std::string id) {
-  const EndpointEntry& entry = state_.endpoints.at(id).entry;
-  const HttpTarget target{entry.address, entry.port};
+awaitable<void> RouterNode::ask_endpoint(std::string id, HttpTarget target) {
+  ClientRequest request = wire_.report_request();
   const ClientAnswer answer =
-      co_await exchange(io_, target, wire_.report_request(), kReportTimeout);
+      co_await exchange(io_, target, std::move(request), kReportTimeout);
   if (!answer.answered || !wire_.decode_report(answer.body).leaving) co_return;
   peers_.tell_notice(id);
   post(EndpointNotice{id});
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -112,7 +112,7 @@
   bool ready() const;
   void tend_stop(Millis now);
   void ask_endpoints(Millis now);
-  awaitable<void> ask_endpoint(std::string id);
+  awaitable<void> ask_endpoint(std::string id, HttpTarget target);
 
   using AttemptKey = std::pair<std::uint64_t, std::uint32_t>;
 
