Never run a generation anew when its target cannot be reached

`explain` shows a move resumed at an engine that was cut off, "connection failed", and a third attempt placed like a new request, from the start, though the caller had 80 events. Ruled out: the engine's copy (it was never asked) and the retry of lookups (a stream, attempts 1).

Change: a stream whose target does not run it goes back to the endpoint that stopped it and keeps its memory, with the last event that the caller has; if that fails too it is broken off.

Before: the new case of moves_test.cc fails (5 checks). After: it passes.

--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -3,6 +3,7 @@
 // the last event that the caller has.
 
 #include <algorithm>
+#include <utility>
 
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/routing_steps.h"
@@ -190,6 +191,8 @@
           {"events_made", std::to_string(move.events_made)}});
   clear_move(context, key, request);
   request.move.tries = 0;
+  request.stopped_at = request.endpoint;
+  request.memory = memory;
   request.move.counted_at = 0;
   request.moves += 1;
   start_attempt(context, key, request, move.target, std::move(memory));
@@ -241,6 +244,17 @@
 
 }  // namespace
 
+bool go_back(const RoutingContext& context, std::uint64_t key,
+             RequestState& request) {
+  const std::string source = std::exchange(request.stopped_at, "");
+  if (source.empty() || source == request.endpoint) return false;
+  if (find_endpoint(context, source) == nullptr) return false;
+  record(context, "move_undone", key,
+         {{"from", request.endpoint}, {"to", source}});
+  start_attempt(context, key, request, source, request.memory);
+  return true;
+}
+
 void clear_move(const RoutingContext& context, std::uint64_t key,
                 RequestState& request) {
   GenerationMove& move = request.move;
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -70,6 +70,26 @@
          may_repeat(context, request.service, context.state.peers.size() + 1);
 }
 
+// A request that ran partly, or may have.
+void on_broken(const RoutingContext& context, std::uint64_t key,
+               RequestState& request) {
+  note_death(context.state.suspects, request.facts.fingerprint,
+             context.state.now);
+  if (request.relaying) {
+    record(
+        context, "outcome", key,
+        {{"status", "broken_off"}, {"cause", "endpoint's stream broke off"}});
+    context.effects.push_back(BreakOff{key, "endpoint_stream_broken"});
+    forget(context, key);
+    return;
+  }
+  if (may_try_again(context, request)) {
+    place(context, key, request, request.endpoint);
+    return;
+  }
+  refuse(context, key, 502, -1, "endpoint_answer_broken");
+}
+
 void on_unreachable(const RoutingContext& context, std::uint64_t key,
                     RequestState& request) {
   EndpointState* endpoint = find_endpoint(context, request.endpoint);
@@ -80,6 +100,10 @@
             {"cause", "connection failed"},
             {"until_ms", std::to_string(endpoint->ejected_until)}});
   }
+  if (request.relaying) {
+    if (!go_back(context, key, request)) on_broken(context, key, request);
+    return;
+  }
   request.sent -= 1;
   request.connect_failures += 1;
   if (request.connect_failures >= kMostConnectFailures ||
@@ -91,26 +115,6 @@
   place(context, key, request, request.endpoint);
 }
 
-// A request that ran partly, or may have.
-void on_broken(const RoutingContext& context, std::uint64_t key,
-               RequestState& request) {
-  note_death(context.state.suspects, request.facts.fingerprint,
-             context.state.now);
-  if (request.relaying) {
-    record(
-        context, "outcome", key,
-        {{"status", "broken_off"}, {"cause", "endpoint's stream broke off"}});
-    context.effects.push_back(BreakOff{key, "endpoint_stream_broken"});
-    forget(context, key);
-    return;
-  }
-  if (may_try_again(context, request)) {
-    place(context, key, request, request.endpoint);
-    return;
-  }
-  refuse(context, key, 502, -1, "endpoint_answer_broken");
-}
-
 FirstByte first_byte_of(const RoutingContext& context,
                         const RequestState& request) {
   return {request.route.kind, request.account,
@@ -144,7 +148,7 @@
 void on_not_run(const RoutingContext& context, std::uint64_t key,
                 RequestState& request) {
   if (request.relaying) {
-    on_broken(context, key, request);
+    if (!go_back(context, key, request)) on_broken(context, key, request);
     return;
   }
   if (may_try_again(context, request)) {
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -12,6 +12,7 @@
 #include "libperidotreach/length_model.h"
 #include "libperidotreach/quarantine.h"
 #include "libperidotreach/routing/manifest.h"
+#include "libperidotreach/routing/routing_effect.h"
 #include "libperidotreach/routing/routing_event.h"
 #include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/time.h"
@@ -128,6 +129,10 @@
   Millis longest_pause = 0;
   // Endpoints that it went on at after the first.
   std::uint32_t moves = 0;
+  // The endpoint that stopped it last and keeps its memory for a while, and
+  // where that lies; empty once it has been gone back to.
+  std::string stopped_at;
+  MemorySource memory;
   GenerationMove move;
 
   bool operator==(const RequestState&) const = default;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -89,6 +89,10 @@
 void on_target_chosen(const RoutingContext& context, std::uint64_t key,
                       RequestState& request, const std::string& target);
 void on_copy_answered(const RoutingContext& context, const CopyAnswered& event);
+// Goes on at the endpoint that stopped a generation if its target did not run
+// it. Returns whether it does; a generation that has run never runs anew.
+bool go_back(const RoutingContext& context, std::uint64_t key,
+             RequestState& request);
 // Ends a move, whatever it has come to.
 void clear_move(const RoutingContext& context, std::uint64_t key,
                 RequestState& request);
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -68,6 +68,36 @@
   CHECK(effects_of<BreakOff>(router.effects).empty());
 }
 
+// A stream that goes on at a target, its second attempt.
+std::uint64_t moved_stream(SampleRouter& router, std::string& source) {
+  const auto request = running_stream(router, 10);
+  source = router.attempt(request).endpoint;
+  give_notice(router, source);
+  router.answer_room(router.apply(TurnGranted{request, source}));
+  router.apply(copied(request, 9));
+  router.apply(copied(request, 9));
+  router.apply(AttemptEnded{request, 1, AttemptEnd::kBroken, 200});
+  REQUIRE(router.attempt(request).attempt == 2);
+  return request;
+}
+
+TEST_CASE("a target that cannot be reached never makes a second run",
+          "[moves]") {
+  SampleRouter router;
+  std::string source;
+  const auto request = moved_stream(router, source);
+  const AttemptEnd end = GENERATE(AttemptEnd::kNotSent, AttemptEnd::kNotRun);
+  const auto back = effects_of<StartAttempt>(
+      router.apply(AttemptEnded{request, 2, end, 503}));
+  REQUIRE(back.size() == 1);
+  CHECK(back[0].endpoint == source);
+  CHECK(back[0].source.handle == "h-1");
+  CHECK(back[0].source.last_event == 9);
+  const auto lost = router.apply(AttemptEnded{request, 3, end, 503});
+  CHECK(effects_of<StartAttempt>(lost).empty());
+  CHECK(effects_of<BreakOff>(lost).size() == 1);
+}
+
 TEST_CASE("a target without room is not asked again", "[moves]") {
   SampleRouter router;
   const auto request = running_stream(router, 10);
