--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -78,19 +78,18 @@
 
 double burden(const RoutingState& state, const EndpointState& endpoint,
               const EndpointUse& granted, const EndpointNeed& need,
-              const ServiceSpec* service) {
+              const EngineShape* engine) {
   const double batch =
       static_cast<double>(endpoint.own.running + endpoint.peers.running +
                           granted.running + 1) /
       slots_of(endpoint);
   double sum = batch;
-  if (service != nullptr && service->engine && need.tokens > 0) {
+  if (engine != nullptr && need.tokens > 0) {
     const auto unread = static_cast<double>(endpoint.own.unread_tokens +
                                             endpoint.peers.unread_tokens +
                                             granted.unread_tokens);
     sum = kBatchBurden * batch + unread / kUnreadTokens +
-          memory_burden(
-              memory_share(endpoint, granted, *service->engine, need.tokens));
+          memory_burden(memory_share(endpoint, granted, *engine, need.tokens));
   }
   sum += need.copy_burden *
          static_cast<double>(endpoint.own.copies + endpoint.peers.copies);
@@ -119,29 +118,24 @@
 
 std::string choose_endpoint(const RoutingState& state,
                             const EndpointNeed& need) {
-  const ServiceSpec* service = nullptr;
-  if (state.manifest) {
-    const auto found = state.manifest->services.find(need.service);
-    if (found != state.manifest->services.end()) service = &found->second;
-  }
+  const EngineShape* engine = engine_of(state, need.service);
   std::string best;
   double least = 0;
   for (const auto& [id, endpoint] : state.endpoints) {
     if (endpoint.entry.service != need.service) continue;
     if (need.except.contains(id)) continue;
     if (!takes_new_work(endpoint, state.now)) continue;
-    const bool has_memory = service != nullptr && service->engine;
     const EndpointUse granted = granted_at(state, id);
     const bool elsewhere =
         !need.zone.empty() && endpoint.entry.zone != need.zone;
     const double most =
         elsewhere ? std::min(need.most_memory, need.most_memory_elsewhere)
                   : need.most_memory;
-    if (has_memory &&
-        memory_share(endpoint, granted, *service->engine, need.tokens) > most) {
+    if (engine != nullptr &&
+        memory_share(endpoint, granted, *engine, need.tokens) > most) {
       continue;
     }
-    const double cost = burden(state, endpoint, granted, need, service) +
+    const double cost = burden(state, endpoint, granted, need, engine) +
                         kSpread * spread(id, state.random);
     if (!best.empty() && cost >= least) continue;
     best = id;
@@ -175,10 +169,13 @@
   return endpoint.own.breaks * std::exp2(-age / kBreakHalfLife);
 }
 
-bool is_engine(const RoutingState& state, const std::string& service) {
-  if (!state.manifest) return false;
+const EngineShape* engine_of(const RoutingState& state,
+                             const std::string& service) {
+  if (!state.manifest) return nullptr;
   const auto found = state.manifest->services.find(service);
-  return found != state.manifest->services.end() && found->second.engine;
+  const bool has_engine = found != state.manifest->services.end() &&
+                          found->second.engine.has_value();
+  return has_engine ? &*found->second.engine : nullptr;
 }
 
 bool is_favoured(const RoomNeed& room) {
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -53,8 +53,9 @@
 // Returns the decayed number of recent breaks.
 double breaks_at(const EndpointState& endpoint, Millis now);
 
-// Returns whether the service's endpoints are model engines.
-bool is_engine(const RoutingState& state, const std::string& service);
+// Returns the shape of the service's engines, null if it is a plain service.
+const EngineShape* engine_of(const RoutingState& state,
+                             const std::string& service);
 
 // Returns whether a request has room kept for it: it is of the first rank, or
 // so brief that it holds memory for a moment only.
--- a/src/libperidotreach/routing/engine_room.cc
+++ b/src/libperidotreach/routing/engine_room.cc
@@ -104,10 +104,10 @@
                         request.sent == 0 && request.attempt == 0;
   if (!may_wait) return false;
   const RoomNeed room = room_of(context.state, request);
-  const Millis until = longest_wait(request, room);
-  if (now >= until) return false;
-  if (request.waits_until == 0) {
-    request.waits_until = until;
+  const bool is_new = request.waits_until == 0;
+  if (is_new) request.waits_until = longest_wait(request, room);
+  if (now >= request.waits_until) return false;
+  if (is_new) {
     request.room_heard = now;
     ask_room(context, key, request);
     return true;
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -32,10 +32,8 @@
 constexpr unsigned kNoRoom = 503;
 
 bool can_move(const RoutingState& state, const std::string& service) {
-  if (!state.manifest) return false;
-  const auto found = state.manifest->services.find(service);
-  return found != state.manifest->services.end() && found->second.engine &&
-         found->second.engine->can_move;
+  const EngineShape* engine = engine_of(state, service);
+  return engine != nullptr && engine->can_move;
 }
 
 bool is_leaving(const RoutingState& state, const std::string& endpoint) {
@@ -206,10 +204,6 @@
   resume_if_ready(context, key, request);
 }
 
-}  // namespace
-
-namespace {
-
 // Frees a copy that was not gone on from, at the source and, as that may be
 // gone, at the target.
 void free_copies(const RoutingContext& context, const RequestState& request) {
--- a/src/libperidotreach/routing/output_length.cc
+++ b/src/libperidotreach/routing/output_length.cc
@@ -55,7 +55,7 @@
     tokens += static_cast<double>(found->second.tokens);
   };
   add(state.finished);
-  for (const auto& [peer, outputs] : state.peer_finished) add(outputs);
+  for (const auto& [peer, told] : state.peers) add(told.finished);
   return generations < kLeastLearned ? 0 : tokens / generations;
 }
 
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -34,9 +34,9 @@
 std::uint32_t deaths_of_request(const RoutingState& state,
                                 std::uint64_t fingerprint) {
   std::uint32_t deaths = deaths_of(state.suspects, fingerprint, state.now);
-  for (const auto& [peer, suspects] : state.peer_suspects) {
-    const auto found = suspects.find(fingerprint);
-    if (found != suspects.end()) deaths += found->second;
+  for (const auto& [peer, told] : state.peers) {
+    const auto found = told.suspects.find(fingerprint);
+    if (found != told.suspects.end()) deaths += found->second;
   }
   return deaths;
 }
@@ -238,11 +238,9 @@
 }
 
 double produced_tokens(const RoutingState& state, const RequestState& request) {
-  const auto service = state.manifest->services.find(request.service);
-  const bool known = service != state.manifest->services.end() &&
-                     service->second.engine.has_value();
+  const EngineShape* engine = engine_of(state, request.service);
   const std::uint32_t per_event =
-      known ? service->second.engine->tokens_per_event : 1;
+      engine != nullptr ? engine->tokens_per_event : 1;
   return static_cast<double>(request.events) * per_event;
 }
 
@@ -418,10 +416,6 @@
   request.unread_tokens = 0;
 }
 
-}  // namespace
-
-namespace {
-
 void note_event_time(RequestState& request, Millis now) {
   if (request.events == 0) {
     request.first_event_at = now;
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -93,14 +93,6 @@
   kBroken,
 };
 
-// Load that an endpoint reports of itself.
-struct ReportedLoad {
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-
-  bool operator==(const ReportedLoad&) const = default;
-};
-
 // An attempt is over.
 struct AttemptEnded {
   std::uint64_t request = 0;
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -163,9 +163,9 @@
     if (found == state.endpoints.end()) continue;
     EndpointUse& sum = found->second.peers;
     sum = EndpointUse{id};
-    for (const auto& [peer, theirs] : state.peers) {
-      const auto use = theirs.find(id);
-      if (use == theirs.end()) continue;
+    for (const auto& [peer, told] : state.peers) {
+      const auto use = told.uses.find(id);
+      if (use == told.uses.end()) continue;
       sum.running += use->second.running;
       sum.tokens += use->second.tokens;
       sum.unread_tokens += use->second.unread_tokens;
@@ -177,38 +177,28 @@
 
 void apply(const RoutingContext& context, const PeerUseArrived& event) {
   RoutingState& state = context.state;
-  std::map<std::string, EndpointUse> touched = state.peers[event.peer];
-  std::map<std::string, EndpointUse> uses;
-  for (const EndpointUse& use : event.uses) uses[use.endpoint] = use;
-  touched.insert(uses.begin(), uses.end());
-  state.peers[event.peer] = std::move(uses);
+  ToldByPeer& told = state.peers[event.peer];
+  std::map<std::string, EndpointUse> touched = std::move(told.uses);
+  told.uses.clear();
+  for (const EndpointUse& use : event.uses) told.uses[use.endpoint] = use;
+  touched.insert(told.uses.begin(), told.uses.end());
   sum_peers(state, touched);
-  ToldRepeats& told = state.peer_repeats[event.peer];
-  told.at = state.now;
-  told.services.clear();
-  for (const ServiceRepeats& counts : event.repeats) {
-    told.services[counts.service] = {counts.requests, counts.repeats};
-  }
-  auto& finished = state.peer_finished[event.peer];
+  told.suspects = {event.suspects.begin(), event.suspects.end()};
   for (const FinishedOutput& output : event.finished) {
-    finished[output.route] = output;
+    told.finished[output.route] = output;
   }
-  auto& suspects = state.peer_suspects[event.peer];
-  suspects.clear();
-  for (const auto& [fingerprint, deaths] : event.suspects) {
-    suspects[fingerprint] = deaths;
+  ToldRepeats& repeats = state.peer_repeats[event.peer];
+  repeats.at = state.now;
+  repeats.services.clear();
+  for (const ServiceRepeats& counts : event.repeats) {
+    repeats.services[counts.service] = {counts.requests, counts.repeats};
   }
 }
 
 void apply(const RoutingContext& context, const PeerLost& event) {
   RoutingState& state = context.state;
-  const auto found = state.peers.find(event.peer);
-  if (found == state.peers.end()) return;
-  const std::map<std::string, EndpointUse> touched = std::move(found->second);
-  state.peers.erase(found);
-  state.peer_suspects.erase(event.peer);
-  state.peer_finished.erase(event.peer);
-  sum_peers(state, touched);
+  const auto lost = state.peers.extract(event.peer);
+  if (!lost.empty()) sum_peers(state, lost.mapped().uses);
 }
 
 void apply(const RoutingContext& context, const RoutingTicked&) {
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -175,6 +175,17 @@
   bool operator==(const ToldRepeats&) const = default;
 };
 
+// What a peer told of itself last; forgotten when it is lost.
+struct ToldByPeer {
+  std::map<std::string, EndpointUse> uses;
+  // Fingerprints in flight when an endpoint died, with a count.
+  std::map<std::uint64_t, std::uint32_t> suspects;
+  // Finished generations by route.
+  std::map<std::string, FinishedOutput> finished;
+
+  bool operator==(const ToldByPeer&) const = default;
+};
+
 // Everything the reducer knows.
 struct RoutingState {
   RoutingSelf self;
@@ -192,16 +203,14 @@
   std::vector<CountedMove> counted_moves;
   // Lengths of outputs by route and account.
   LengthModel lengths;
-  // Finished generations by route, here and as peers told.
+  // Finished generations by route.
   std::map<std::string, FinishedOutput> finished;
-  std::map<std::string, std::map<std::string, FinishedOutput>> peer_finished;
   std::map<std::string, SharedRetryBudget> budgets;
   // Kept for a window after the peer was heard last.
   std::map<std::string, ToldRepeats> peer_repeats;
-  std::map<std::string, std::map<std::string, EndpointUse>> peers;
-  // Fingerprints in flight at deaths, here and as peers told.
+  std::map<std::string, ToldByPeer> peers;
+  // Fingerprints in flight at deaths.
   Quarantine suspects;
-  std::map<std::string, std::map<std::uint64_t, std::uint32_t>> peer_suspects;
 
   bool operator==(const RoutingState&) const = default;
 };
--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "peridot-router/router_node.h"
+#include "runtime/http_server.h"
 
 namespace peridotreach {
 namespace {
@@ -57,13 +58,6 @@
   return 400;
 }
 
-bool worth_answering(error_code reason) {
-  return reason.category() ==
-             http::make_error_code(http::error::end_of_stream).category() &&
-         reason != http::error::end_of_stream &&
-         reason != http::error::partial_message;
-}
-
 }  // namespace
 
 CallerSession::CallerSession(tcp::socket socket, RouterNode& node)
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -1,7 +1,6 @@
 #include "peridot-router/peer_exchange.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "fleet.pb.h"
@@ -64,7 +63,7 @@
 void PeerExchange::set_seeds(const std::vector<HttpTarget>& seeds) {
   seeds_.clear();
   for (const HttpTarget& seed : seeds) {
-    const std::string place = seed.address + ":" + std::to_string(seed.port);
+    const std::string place = place_of(seed);
     if (place != self_.link) seeds_.push_back(place);
   }
 }
@@ -117,16 +116,13 @@
 
 void PeerExchange::send(const std::string& link,
                         const proto::Envelope& message) {
-  const std::size_t colon = link.rfind(':');
-  if (colon == std::string::npos) return;
-  std::uint16_t port = 0;
-  const auto parsed =
-      std::from_chars(link.data() + colon + 1, link.data() + link.size(), port);
-  if (parsed.ec != std::errc()) return;
-  link_.send(link.substr(0, colon), port, message);
+  const Result<HttpTarget> target = parse_place(link);
+  if (!ok(target)) return;
+  link_.send(value(target).address, value(target).port, message);
 }
 
-void PeerExchange::tick(const OwnDigest& own, Millis now) {
+void PeerExchange::tick(bool reads_store, const std::function<OwnDigest()>& own,
+                        Millis now) {
   for (const std::string& vm : forget_peers(view_, now)) {
     log(LogLevel::kInfo, "peer_forgotten", {{"peer", vm}});
     handlers_.on_lost(vm);
@@ -134,7 +130,7 @@
   for (const GrantedTurn& granted : expire_turns(turns_, now)) {
     tell_granted(granted);
   }
-  push_changes(own.reads_store, now);
+  push_changes(reads_store, now);
   Millis near = 0;
   for (const auto& [vm, peer] : view_.peers) {
     if (peer.record.zone == self_.zone) near += 1;
@@ -142,12 +138,13 @@
   const Millis interval = std::max(kLeastInterval, kIntervalPerPeer * near);
   const Millis since = now - told_at_;
   if (since < interval) return;
+  const OwnDigest digest = own();
   const bool changed =
-      !(own == told_) ||
+      !(digest == told_) ||
       handlers_.table(kManifestTable).revision != told_manifest_ ||
       handlers_.table(kEndpointTable).revision != told_endpoints_;
   if (!changed && since < kHeartbeat) return;
-  broadcast(own, now);
+  broadcast(digest, now);
 }
 
 void PeerExchange::send_turn(const std::string& vm,
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -89,8 +89,10 @@
   // Where peers may be reached that the store does not list.
   void set_seeds(const std::vector<HttpTarget>& seeds);
 
-  // Tells peers if something changed or a heartbeat is due.
-  void tick(const OwnDigest& own, Millis now);
+  // Tells peers if something changed or a heartbeat is due. `own` is asked only
+  // once the shortest interval is over.
+  void tick(bool reads_store, const std::function<OwnDigest()>& own,
+            Millis now);
 
   // A table changed by the store's news. Peers in the same availability zone
   // hear of it with the next tick if this process follows the store for them.
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -44,10 +44,6 @@
 // a digest.
 constexpr std::uint32_t kToldRequests = 8;
 
-std::string place_of(const HttpTarget& target) {
-  return target.address + ":" + std::to_string(target.port);
-}
-
 PeerRecord record_of(const RouterSettings& settings,
                      std::uint64_t incarnation) {
   return {settings.vm, settings.zone, place_of(settings.link),
@@ -94,23 +90,11 @@
 Result<std::uint16_t> RouterNode::start() {
   auto link = peers_.start(settings_.link, settings_.seeds);
   if (!ok(link)) return link;
-  error_code failed;
-  const auto ip = asio::ip::make_address(settings_.callers.address, failed);
-  const tcp::endpoint endpoint(ip, settings_.callers.port);
-  acceptor_ = std::make_shared<tcp::acceptor>(io_);
-  if (!failed) acceptor_->open(endpoint.protocol(), failed);
-  if (!failed)
-    acceptor_->set_option(tcp::acceptor::reuse_address(true), failed);
-  if (!failed) acceptor_->bind(endpoint, failed);
-  if (!failed) {
-    acceptor_->listen(asio::socket_base::max_listen_connections, failed);
-  }
-  if (failed) {
-    return Error{ErrorKind::kUnavailable,
-                 "cannot listen for callers on " + place_of(settings_.callers) +
-                     ": " + failed.message(),
-                 "choose a free port or stop its present holder"};
-  }
+  Result<tcp::acceptor> callers =
+      listen_on(io_, settings_.callers.address, settings_.callers.port);
+  if (!ok(callers)) return error(callers);
+  acceptor_ = std::make_shared<tcp::acceptor>(
+      std::get<tcp::acceptor>(std::move(callers)));
   co_spawn(io_, accept_callers(), asio::detached);
   auto directory = start_http_server(
       io_, settings_.directory.address, settings_.directory.port, {},
@@ -156,7 +140,7 @@
     if (failed) co_return;
     const Millis now = monotonic_now();
     post(RoutingTicked{});
-    peers_.tick(own_digest(), now);
+    tell_peers(now);
     flush_log();
     if (stopping()) tend_stop(now);
     ask_endpoints(now);
@@ -166,13 +150,13 @@
 // While no process reaches the store, nobody hears which engines leave. Those
 // that are in use are asked, each by one process.
 void RouterNode::ask_endpoints(Millis now) {
-  if (!store_is_away(peers_.view(), reads_store_, now)) return;
+  if (!store_is_away(peers_.view(), state_.store_reachable, now)) return;
   if (now - endpoints_asked_ < kReportInterval) return;
   endpoints_asked_ = now;
   for (const auto& [id, endpoint] : state_.endpoints) {
     const bool is_used = endpoint.own.running + endpoint.peers.running > 0;
     if (!is_used || endpoint.leaving_since != 0) continue;
-    if (!is_engine(state_, endpoint.entry.service)) continue;
+    if (engine_of(state_, endpoint.entry.service) == nullptr) continue;
     if (!peers_.asks_endpoint(id, now)) continue;
     const HttpTarget target{endpoint.entry.address, endpoint.entry.port};
     co_spawn(io_, ask_endpoint(id, target), asio::detached);
@@ -188,11 +172,16 @@
   post(EndpointNotice{id});
 }
 
+void RouterNode::tell_peers(Millis now) {
+  peers_.tick(
+      state_.store_reachable, [this] { return own_digest(); }, now);
+}
+
 OwnDigest RouterNode::own_digest() const {
   OwnDigest own;
   own.ready = ready();
   own.stopping = stopping();
-  own.reads_store = reads_store_;
+  own.reads_store = state_.store_reachable;
   for (const auto& [id, endpoint] : state_.endpoints) {
     const EndpointUse& use = endpoint.own;
     const double breaks = breaks_at(endpoint, state_.now);
@@ -235,7 +224,7 @@
   on_stopped_ = std::move(on_stopped);
   log(LogLevel::kInfo, "stopping",
       {{"in_flight", std::to_string(exchanges_.size())}});
-  peers_.tick(own_digest(), stopping_since_);
+  tell_peers(stopping_since_);
 }
 
 void RouterNode::tend_stop(Millis now) {
@@ -284,13 +273,11 @@
   co_await exchange.respond(std::move(response));
 }
 
-void RouterNode::set_reads_store(bool reads) {
-  reads_store_ = reads;
-  post(StoreSeen{reads});
-}
+void RouterNode::set_reads_store(bool reads) { post(StoreSeen{reads}); }
 
 bool RouterNode::doubts_store(Millis since) const {
-  return reads_store_ && peer_lost_store(peers_.view(), since, monotonic_now());
+  return state_.store_reachable &&
+         peer_lost_store(peers_.view(), since, monotonic_now());
 }
 
 void RouterNode::reload(const RouterSettings& settings) {
@@ -303,7 +290,7 @@
 
 bool RouterNode::follows_tables() const {
   return peridotreach::follows_tables(peers_.view(), peers_.self(),
-                                      reads_store_, monotonic_now());
+                                      state_.store_reachable, monotonic_now());
 }
 
 std::uint64_t RouterNode::table_revision(const std::string& table) {
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -108,6 +108,7 @@
   awaitable<void> keep_time();
   awaitable<void> answer_address(HttpExchange& exchange);
   awaitable<void> answer_readiness(HttpExchange& exchange);
+  void tell_peers(Millis now);
   OwnDigest own_digest() const;
   bool ready() const;
   void tend_stop(Millis now);
@@ -129,7 +130,6 @@
   std::vector<std::weak_ptr<CallerSession>> sessions_;
   std::shared_ptr<tcp::acceptor> acceptor_;
   std::vector<decltype(RoutingEvent::body)> pending_;
-  bool reads_store_ = true;
   bool reducing_ = false;
   std::uint64_t next_request_ = 1;
   CallerLimits default_limits_;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -59,7 +59,7 @@
   error_code failed;
   const auto ip = asio::ip::make_address(target.address, failed);
   if (failed) co_return false;
-  host_ = target.address + ":" + std::to_string(target.port);
+  host_ = place_of(target);
   stream_.expires_after(in(timeout));
   const tcp::endpoint endpoint(ip, target.port);
   co_await stream_.async_connect(
@@ -172,19 +172,32 @@
   co_return answer;
 }
 
+std::string place_of(const HttpTarget& target) {
+  return target.address + ":" + std::to_string(target.port);
+}
+
+Result<HttpTarget> parse_place(const std::string& text) {
+  const Error bad{ErrorKind::kInvalidInput,
+                  "\"" + text + "\" is no ADDRESS:PORT",
+                  "write an IP address and a port"};
+  const std::size_t colon = text.rfind(':');
+  if (colon == 0 || colon == std::string::npos) return bad;
+  HttpTarget target;
+  target.address = text.substr(0, colon);
+  const char* begin = text.data() + colon + 1;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(begin, end, target.port);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return bad;
+  return target;
+}
+
 Result<HttpTarget> parse_url(const std::string& url) {
   const std::string scheme = "http://";
   const Error bad{ErrorKind::kInvalidInput, "\"" + url + "\" is no URL here",
                   "write http://ADDRESS:PORT"};
   if (url.compare(0, scheme.size(), scheme) != 0) return bad;
-  const std::size_t colon = url.rfind(':');
-  if (colon <= scheme.size()) return bad;
-  HttpTarget target;
-  target.address = url.substr(scheme.size(), colon - scheme.size());
-  const char* begin = url.data() + colon + 1;
-  const char* end = url.data() + url.size();
-  const auto parsed = std::from_chars(begin, end, target.port);
-  if (parsed.ec != std::errc() || parsed.ptr != end) return bad;
+  Result<HttpTarget> target = parse_place(url.substr(scheme.size()));
+  if (!ok(target)) return bad;
   return target;
 }
 
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -27,6 +27,12 @@
   bool operator==(const HttpTarget&) const = default;
 };
 
+// Returns ADDRESS:PORT.
+std::string place_of(const HttpTarget& target);
+
+// Parses ADDRESS:PORT.
+Result<HttpTarget> parse_place(const std::string& text);
+
 // What a client sends; `target` is path and query. An empty `host` means the
 // server's address, an empty `content_type` leaves the field out.
 struct ClientRequest {
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -53,13 +53,6 @@
   co_await exchange.respond(std::move(response));
 }
 
-bool worth_answering(error_code reason) {
-  return reason.category() ==
-             http::make_error_code(http::error::end_of_stream).category() &&
-         reason != http::error::end_of_stream &&
-         reason != http::error::partial_message;
-}
-
 awaitable<void> serve_connection(tcp::socket socket, HttpLimits limits,
                                  HttpHandler handler) {
   socket.set_option(tcp::no_delay(true));
@@ -113,6 +106,39 @@
 
 }  // namespace
 
+bool worth_answering(error_code reason) {
+  return reason.category() ==
+             http::make_error_code(http::error::end_of_stream).category() &&
+         reason != http::error::end_of_stream &&
+         reason != http::error::partial_message;
+}
+
+Result<tcp::acceptor> listen_on(asio::io_context& io,
+                                const std::string& address,
+                                std::uint16_t port) {
+  error_code failed;
+  const auto ip = asio::ip::make_address(address, failed);
+  if (failed) {
+    return Error{ErrorKind::kInvalidInput,
+                 "\"" + address + "\" is no IP address",
+                 "give the address of this VM in numbers"};
+  }
+  const tcp::endpoint endpoint(ip, port);
+  tcp::acceptor acceptor(io);
+  acceptor.open(endpoint.protocol(), failed);
+  if (!failed) acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+  if (!failed) acceptor.bind(endpoint, failed);
+  if (!failed)
+    acceptor.listen(asio::socket_base::max_listen_connections, failed);
+  if (failed) {
+    return Error{ErrorKind::kUnavailable,
+                 "cannot listen on " + address + ":" + std::to_string(port) +
+                     ": " + failed.message(),
+                 "choose a free port or stop its present holder"};
+  }
+  return acceptor;
+}
+
 HttpExchange::HttpExchange(beast::tcp_stream& stream, HttpRequest request,
                            bool keep_alive)
     : stream_(stream), request_(std::move(request)), keep_alive_(keep_alive) {}
@@ -183,26 +209,9 @@
                                         std::uint16_t port,
                                         const HttpLimits& limits,
                                         HttpHandler handler) {
-  error_code failed;
-  const auto ip = asio::ip::make_address(address, failed);
-  if (failed) {
-    return Error{ErrorKind::kInvalidInput,
-                 "\"" + address + "\" is no IP address",
-                 "give the address of this VM in numbers"};
-  }
-  const tcp::endpoint endpoint(ip, port);
-  tcp::acceptor acceptor(io);
-  acceptor.open(endpoint.protocol(), failed);
-  if (!failed) acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
-  if (!failed) acceptor.bind(endpoint, failed);
-  if (!failed)
-    acceptor.listen(asio::socket_base::max_listen_connections, failed);
-  if (failed) {
-    return Error{ErrorKind::kUnavailable,
-                 "cannot listen on " + address + ":" + std::to_string(port) +
-                     ": " + failed.message(),
-                 "choose a free port or stop its present holder"};
-  }
+  Result<tcp::acceptor> listening = listen_on(io, address, port);
+  if (!ok(listening)) return error(listening);
+  auto& acceptor = std::get<tcp::acceptor>(listening);
   const std::uint16_t bound = acceptor.local_endpoint().port();
   co_spawn(io,
            accept_connections(std::move(acceptor), limits, std::move(handler)),
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -17,6 +17,14 @@
 
 namespace peridotreach {
 
+// Listens on ADDRESS:PORT.
+Result<tcp::acceptor> listen_on(asio::io_context& io,
+                                const std::string& address, std::uint16_t port);
+
+// Returns whether the peer of a request that could not be read for `reason` is
+// still there for an answer.
+bool worth_answering(error_code reason);
+
 // One request and the means to answer it. Handlers answer exactly once,
 // either with `respond` or with `start_stream`, writes and `finish_stream`.
 class HttpExchange {
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -149,10 +149,10 @@
   next.router.stop_grace = 1;
   next.router.seeds.clear();
   next.store.port = 7;
-  CHECK(changes_for_restart(value(read), next).empty());
+  CHECK(hold_fixed_settings(value(read), next).empty());
   next.router.zone = "b";
   next.router.link.port = 9;
-  CHECK(changes_for_restart(value(read), next) ==
+  CHECK(hold_fixed_settings(value(read), next) ==
         std::vector<std::string>{"zone", "listen.control"});
 }
 
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -17,6 +17,23 @@
   return answers.empty() ? 0 : answers.back().status;
 }
 
+// A stream's request that the sample manifest lets in.
+CallerRequest stream_facts() {
+  CallerRequest facts;
+  facts.host = "example.test";
+  facts.path = "/stream/1";
+  facts.key = "key-1";
+  return facts;
+}
+
+// A peer that has filled the memory of all engines.
+PeerUseArrived busy_engines() {
+  PeerUseArrived busy;
+  busy.peer = "vm-2";
+  busy.uses = {{"e1", 8, 33000}, {"e2", 8, 33000}, {"e3", 8, 33000}};
+  return busy;
+}
+
 TEST_CASE("requests without a manifest are refused as not run", "[routing]") {
   RoutingState state = initial_routing_state({});
   RoutingEvent event;
@@ -119,10 +136,7 @@
     full.uses.push_back({id, 8, 40000});
   }
   router.apply(full);
-  CallerRequest facts;
-  facts.host = "example.test";
-  facts.path = "/stream/1";
-  facts.key = "key-1";
+  CallerRequest facts = stream_facts();
   facts.prompt_tokens = 2000;
   facts.most_output_tokens = facts.length_hint = 8;
   router.apply(RequestArrived{901, facts});
@@ -144,10 +158,7 @@
 
 TEST_CASE("lengths that peers have seen correct a hint", "[routing]") {
   SampleRouter router;
-  CallerRequest facts;
-  facts.host = "example.test";
-  facts.path = "/stream/1";
-  facts.key = "key-1";
+  CallerRequest facts = stream_facts();
   facts.prompt_tokens = 100;
   facts.most_output_tokens = 1600;
   facts.length_hint = 1600;
@@ -239,9 +250,7 @@
 TEST_CASE("streams wait for room and then go to the endpoint with the most",
           "[routing]") {
   SampleRouter router;
-  PeerUseArrived busy;
-  busy.peer = "vm-2";
-  busy.uses = {{"e1", 8, 33000}, {"e2", 8, 33000}, {"e3", 8, 33000}};
+  PeerUseArrived busy = busy_engines();
   router.apply(busy);
   const auto request = router.request("/stream/1");
   CHECK(router.attempt(request).attempt == 0);
@@ -254,10 +263,7 @@
 TEST_CASE("streams do not wait longer than their objective allows",
           "[routing]") {
   SampleRouter router;
-  PeerUseArrived busy;
-  busy.peer = "vm-2";
-  busy.uses = {{"e1", 8, 33000}, {"e2", 8, 33000}, {"e3", 8, 33000}};
-  router.apply(busy);
+  router.apply(busy_engines());
   const auto request = router.request("/stream/1");
   router.answer_room(router.pass(3500));
   CHECK(router.attempt(request).attempt == 0);
