--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -519,9 +519,13 @@
         waiting = set(self.routers)
         while waiting and self.now() < until:
             for router in list(waiting):
-                _, _, request = self.request("/entry/x")
-                answer = await call(router.listen["front"], request, 3.0)
-                if answer is not None and answer.status == 200:
+                # The newest route shows that the manifest has caught up too.
+                answers = []
+                for path in ("/entry/x", f"/v{self.version}/x"):
+                    _, _, request = self.request(path)
+                    answer = await call(router.listen["front"], request, 3.0)
+                    answers.append(answer and answer.status)
+                if answers == [200, 200]:
                     waiting.discard(router)
             await asyncio.sleep(0.3)
         return not waiting
