Log where each manifest came from and why one was ignored

An operator could not tell from the log whether a late or stale manifest had come by the process's own watch, a peer's push or a peer's table, nor whether an older one had been ignored. manifest_taken now gives the table's revision and the source, and manifest_ignored the version in force.

--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -39,6 +39,9 @@
 // A manifest version was received from the store or from a peer.
 struct ManifestReceived {
   Manifest manifest;
+  // Revision of the table that holds it, and "store" or the peer's VM.
+  std::uint64_t revision = 0;
+  std::string source;
 };
 
 // Service discovery added an endpoint or updated its entry.
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -18,13 +18,18 @@
 
 void apply(const RoutingContext& context, const ManifestReceived& event) {
   RoutingState& state = context.state;
+  std::vector<DecisionField> fields = {
+      {"version", std::to_string(event.manifest.version)},
+      {"revision", std::to_string(event.revision)},
+      {"source", event.source}};
   if (state.manifest && event.manifest.version <= state.manifest->version) {
+    fields.push_back({"in_force", std::to_string(state.manifest->version)});
+    record_decision(context, "manifest_ignored", 0, std::move(fields));
     return;
   }
   state.manifest = event.manifest;
   state.shortest_stream_slo = shortest_stream_slo(event.manifest);
-  record_decision(context, "manifest_taken", 0,
-                  {{"version", std::to_string(event.manifest.version)}});
+  record_decision(context, "manifest_taken", 0, std::move(fields));
 }
 
 void mark_leaving(const RoutingContext& context, EndpointState& endpoint,
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -95,12 +95,14 @@
 }
 
 TableHandlers RouterNode::table_handlers() {
-  return {[this](const std::string& table, const SharedTableState& state) {
-            install_snapshot(table, state);
+  return {[this](const std::string& table, const SharedTableState& state,
+                 const std::string& source) {
+            install_snapshot(table, state, source);
           },
           [this](const std::string& table, const std::string& key,
-                 const std::string* value, std::uint64_t revision) {
-            apply_change(table, key, value, revision);
+                 const std::string* value, std::uint64_t revision,
+                 const std::string& source) {
+            apply_change(table, key, value, revision, source);
           },
           [this](const std::string& table) -> const SharedTableState& {
             return tables_[table];
@@ -358,30 +360,32 @@
                                     const std::string* value,
                                     std::uint64_t revision) {
   peers_.tables().record_change(table, key, tables_[table].revision);
-  apply_change(table, key, value, revision);
+  apply_change(table, key, value, revision, "store");
 }
 
 void RouterNode::apply_change(const std::string& table, const std::string& key,
-                              const std::string* value,
-                              std::uint64_t revision) {
+                              const std::string* value, std::uint64_t revision,
+                              const std::string& source) {
   peridotreach::update_item(
       tables_[table], key, value, revision,
       [&](const std::string& changed, const std::string* now) {
-        on_item_changed(table, changed, now);
+        on_item_changed(table, changed, now, source);
       });
 }
 
 void RouterNode::install_snapshot(const std::string& table,
-                                  const SharedTableState& state) {
+                                  const SharedTableState& state,
+                                  const std::string& source) {
   replace_table(tables_[table], state,
                 [&](const std::string& changed, const std::string* now) {
-                  on_item_changed(table, changed, now);
+                  on_item_changed(table, changed, now, source);
                 });
 }
 
 void RouterNode::on_item_changed(const std::string& table,
                                  const std::string& key,
-                                 const std::string* value) {
+                                 const std::string* value,
+                                 const std::string& source) {
   if (table == kManifestTable) {
     if (value == nullptr) return;
     const Result<Manifest> manifest = table_decoders_.manifest(*value);
@@ -390,7 +394,8 @@
           {{"cause", describe(error(manifest))}});
       return;
     }
-    post(ManifestReceived{peridotreach::value(manifest)});
+    post(ManifestReceived{peridotreach::value(manifest),
+                          tables_[table].revision, source});
     return;
   }
   if (table != kEndpointTable) return;
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -55,9 +55,9 @@
   void apply_store_change(const std::string& table, const std::string& key,
                           const std::string* value, std::uint64_t revision);
 
-  // Replaces a table with a peer's copy unless that copy is older.
-  void install_snapshot(const std::string& table,
-                        const SharedTableState& state);
+  // Replaces a table with the copy of the peer `source` unless that is older.
+  void install_snapshot(const std::string& table, const SharedTableState& state,
+                        const std::string& source);
 
   // Sets whether this process's calls to the store succeed.
   void set_store_reachable(bool is_reachable);
@@ -111,10 +111,12 @@
   void perform(const RecordDecision& effect);
 
   std::shared_ptr<RequestExchange> find_exchange(std::uint64_t request) const;
+  // `source` is "store" or the VM of the peer that sent the change.
   void apply_change(const std::string& table, const std::string& key,
-                    const std::string* value, std::uint64_t revision);
+                    const std::string* value, std::uint64_t revision,
+                    const std::string& source);
   void on_item_changed(const std::string& table, const std::string& key,
-                       const std::string* value);
+                       const std::string* value, const std::string& source);
   awaitable<void> copy_generation(CopyGeneration effect, std::string id);
   awaitable<void> free_copy(FreeCopy effect);
   awaitable<void> accept_callers();
--- a/src/peridot-router/table_exchange.cc
+++ b/src/peridot-router/table_exchange.cc
@@ -147,9 +147,9 @@
     if (!decode_item(item, items)) return;
   }
   for (const auto& [key, value] : items)
-    handlers_.on_change(change.name(), key, &value, change.revision());
+    handlers_.on_change(change.name(), key, &value, change.revision(), sender);
   for (const std::string& key : change.removed())
-    handlers_.on_change(change.name(), key, nullptr, change.revision());
+    handlers_.on_change(change.name(), key, nullptr, change.revision(), sender);
 }
 
 void TableExchange::request_if_behind(const std::string& table,
@@ -194,7 +194,7 @@
       {{"table", message.name()},
        {"peer", sender},
        {"revision", std::to_string(table.revision)}});
-  handlers_.on_snapshot(message.name(), table);
+  handlers_.on_snapshot(message.name(), table, sender);
 }
 
 }  // namespace peridotreach
--- a/src/peridot-router/table_exchange.h
+++ b/src/peridot-router/table_exchange.h
@@ -27,12 +27,14 @@
 inline constexpr const char* kManifestTable = "manifest";
 inline constexpr const char* kEndpointTable = "endpoints";
 
-// Callbacks for changes that peers sent.
+// Callbacks for changes that peers sent. `source` is the peer's VM.
 struct TableHandlers {
-  std::function<void(const std::string& table, const SharedTableState&)>
+  std::function<void(const std::string& table, const SharedTableState&,
+                     const std::string& source)>
       on_snapshot;
   std::function<void(const std::string& table, const std::string& key,
-                     const std::string* value, std::uint64_t revision)>
+                     const std::string* value, std::uint64_t revision,
+                     const std::string& source)>
       on_change;
   // Returns this process's copy of a shared table.
   std::function<const SharedTableState&(const std::string& table)> table;
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -1,6 +1,7 @@
 // Tests of routed requests: matching, rejections, retries, timeouts.
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 #include "libperidotreach/routing/endpoint_choice.h"
@@ -70,11 +71,36 @@
 
 TEST_CASE("an older manifest does not replace a newer one", "[routing]") {
   RouterHarness router;
-  router.apply(ManifestReceived{samples::sample_manifest(7)});
-  router.apply(ManifestReceived{samples::sample_manifest(3)});
+  router.apply(ManifestReceived{samples::sample_manifest(7), 1, "store"});
+  router.apply(ManifestReceived{samples::sample_manifest(3), 1, "store"});
   CHECK(router.state.manifest->version == 7);
 }
 
+TEST_CASE("the log tells where a manifest came from and why it was ignored",
+          "[routing]") {
+  RouterHarness router;
+  const auto fields_of = [](const std::vector<RoutingEffect>& effects) {
+    const auto recorded = effects_of<RecordDecision>(effects);
+    REQUIRE(recorded.size() == 1);
+    std::map<std::string, std::string> fields;
+    for (const DecisionField& field : recorded[0].fields)
+      fields[field.name] = field.value;
+    fields["decision"] = recorded[0].decision;
+    return fields;
+  };
+  const auto taken = fields_of(
+      router.apply(ManifestReceived{samples::sample_manifest(7), 31, "vm-2"}));
+  CHECK(taken ==
+        std::map<std::string, std::string>{{"decision", "manifest_taken"},
+                                           {"version", "7"},
+                                           {"revision", "31"},
+                                           {"source", "vm-2"}});
+  const auto ignored = fields_of(
+      router.apply(ManifestReceived{samples::sample_manifest(3), 31, "store"}));
+  CHECK(ignored.at("decision") == "manifest_ignored");
+  CHECK(ignored.at("in_force") == "7");
+}
+
 TEST_CASE("a non-idempotent call with a broken answer fails with 502",
           "[routing]") {
   RouterHarness router;
