Ignore late responses of the store that a peer's push has overtaken

What callers saw: after a router had restarted, requests on routes of a confirmed manifest could be refused, or handled by an older version, until the next change.

Cause: a shared table has one revision. A response of the store that was on its way while a peer pushed a later change overwrote the item with its older value, and the table kept the peer's higher revision. In a large fleet a restarted router copies the table from a relay; it then held the old manifest under the newest revision and had no reason to ask again. The running router itself was safe, since its reducer compares versions, so nothing showed until somebody copied the table. For endpoints, a draining or removed one came back until the next response.

Evidence: by reading, and by the test 'a late response of the store does not bring back an older item', which failed before ("version 4" == "version 9").

A table contains all changes up to its revision, so changes up to it are now ignored, wherever they come from; a complete read replaces the table only if it is not older.

--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -95,18 +95,18 @@
 }
 
 TableHandlers RouterNode::table_handlers() {
-  return {[this](const std::string& table, const SharedTableState& state,
-                 const std::string& source) {
-            install_snapshot(table, state, source);
-          },
-          [this](const std::string& table, const std::string& key,
-                 const std::string* value, std::uint64_t revision,
-                 const std::string& source) {
-            apply_change(table, key, value, revision, source);
-          },
-          [this](const std::string& table) -> const SharedTableState& {
-            return tables_[table];
-          }};
+  return {
+      [this](const std::string& table, const SharedTableState& state,
+             const std::string& source) {
+        install_snapshot(table, state, source);
+      },
+      [this](const std::string& table, const std::vector<ItemChange>& changes,
+             const std::string& source) {
+        apply_changes(table, changes, source);
+      },
+      [this](const std::string& table) -> const SharedTableState& {
+        return tables_[table];
+      }};
 }
 
 RouterNode::~RouterNode() = default;
@@ -355,19 +355,33 @@
   return tables_[name];
 }
 
-void RouterNode::apply_store_change(const std::string& table,
-                                    const std::string& key,
-                                    const std::string* value,
-                                    std::uint64_t revision) {
-  peers_.tables().record_change(table, key, tables_[table].revision);
-  apply_change(table, key, value, revision, "store");
-}
-
-void RouterNode::apply_change(const std::string& table, const std::string& key,
-                              const std::string* value, std::uint64_t revision,
-                              const std::string& source) {
-  peridotreach::update_item(
-      tables_[table], key, value, revision,
+void RouterNode::apply_store_changes(const std::string& table,
+                                     const std::vector<ItemChange>& changes) {
+  peers_.tables().record_changes(table, changes, tables_[table].revision);
+  apply_changes(table, changes, "store");
+}
+
+void RouterNode::apply_store_read(const std::string& table,
+                                  const std::vector<ItemChange>& items,
+                                  std::uint64_t read_revision) {
+  SharedTableState& state = tables_[table];
+  const std::uint64_t previous_revision = state.revision;
+  std::vector<ItemChange> changes;
+  apply_read(state, items, read_revision,
+             [&](const std::string& changed, const std::string* now) {
+               ItemChange change{changed, std::nullopt, state.revision};
+               if (now != nullptr) change.value = *now;
+               changes.push_back(std::move(change));
+               on_item_changed(table, changed, now, "store");
+             });
+  peers_.tables().record_changes(table, changes, previous_revision);
+}
+
+void RouterNode::apply_changes(const std::string& table,
+                               const std::vector<ItemChange>& changes,
+                               const std::string& source) {
+  peridotreach::apply_changes(
+      tables_[table], changes,
       [&](const std::string& changed, const std::string* now) {
         on_item_changed(table, changed, now, source);
       });
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -50,10 +50,15 @@
   // flight any more or shortly before the grace period ends.
   void stop(std::function<void()> on_stopped);
 
-  // Applies a change that was read from the store and records it for peers.
-  // `value` is null if the item was removed.
-  void apply_store_change(const std::string& table, const std::string& key,
-                          const std::string* value, std::uint64_t revision);
+  // Applies changes that were read from the store, in their order, and records
+  // them for peers.
+  void apply_store_changes(const std::string& table,
+                           const std::vector<ItemChange>& changes);
+
+  // The same for all items of a table, read at `read_revision`.
+  void apply_store_read(const std::string& table,
+                        const std::vector<ItemChange>& items,
+                        std::uint64_t read_revision);
 
   // Replaces a table with the copy of the peer `source` unless that is older.
   void install_snapshot(const std::string& table, const SharedTableState& state,
@@ -112,9 +117,9 @@
 
   std::shared_ptr<RequestExchange> find_exchange(std::uint64_t request) const;
   // `source` is "store" or the VM of the peer that sent the change.
-  void apply_change(const std::string& table, const std::string& key,
-                    const std::string* value, std::uint64_t revision,
-                    const std::string& source);
+  void apply_changes(const std::string& table,
+                     const std::vector<ItemChange>& changes,
+                     const std::string& source);
   void on_item_changed(const std::string& table, const std::string& key,
                        const std::string* value, const std::string& source);
   awaitable<void> copy_generation(CopyGeneration effect, std::string id);
--- a/src/peridot-router/shared_table.cc
+++ b/src/peridot-router/shared_table.cc
@@ -2,33 +2,50 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace peridotreach {
+namespace {
 
-void update_item(SharedTableState& table, const std::string& key,
-                 const std::string* value, std::uint64_t revision,
+void update_item(SharedTableState& table, const ItemChange& change,
                  const ItemChangeHandler& on_change) {
-  table.revision = std::max(table.revision, revision);
-  if (value == nullptr) {
-    if (table.items.erase(key) > 0) on_change(key, nullptr);
+  table.revision = std::max(table.revision, change.revision);
+  if (!change.value) {
+    if (table.items.erase(change.key) > 0) on_change(change.key, nullptr);
     return;
   }
-  std::string& current = table.items[key];
-  if (current == *value) return;
-  current = *value;
-  on_change(key, value);
+  const auto found = table.items.find(change.key);
+  if (found != table.items.end() && found->second == *change.value) return;
+  table.items[change.key] = *change.value;
+  on_change(change.key, &*change.value);
 }
 
-std::set<std::string> missing_keys(const SharedTableState& table,
-                                   const std::set<std::string>& read_keys,
-                                   std::uint64_t revision) {
-  std::set<std::string> missing;
-  if (table.revision > revision) return missing;
-  for (const auto& [key, value] : table.items) {
-    if (!read_keys.contains(key)) missing.insert(key);
+}  // namespace
+
+void apply_changes(SharedTableState& table,
+                   const std::vector<ItemChange>& changes,
+                   const ItemChangeHandler& on_change) {
+  const std::uint64_t known_revision = table.revision;
+  for (const ItemChange& change : changes) {
+    if (change.revision <= known_revision) continue;
+    update_item(table, change, on_change);
+  }
+}
+
+void apply_read(SharedTableState& table, const std::vector<ItemChange>& items,
+                std::uint64_t read_revision,
+                const ItemChangeHandler& on_change) {
+  if (table.revision > read_revision) return;
+  SharedTableState read;
+  read.revision = table.revision;
+  for (const ItemChange& item : items) {
+    if (item.value) read.items[item.key] = *item.value;
+    read.revision = std::max(read.revision, item.revision);
   }
-  return missing;
+  const bool has_removed = std::any_of(
+      table.items.begin(), table.items.end(),
+      [&](const auto& item) { return !read.items.contains(item.first); });
+  if (has_removed) read.revision = read_revision;
+  replace_table(table, read, on_change);
 }
 
 void replace_table(SharedTableState& table, const SharedTableState& newer,
@@ -38,12 +55,10 @@
   for (const auto& [key, value] : table.items) {
     if (!newer.items.contains(key)) removed.push_back(key);
   }
-  for (const std::string& key : removed) {
-    update_item(table, key, nullptr, newer.revision, on_change);
-  }
-  for (const auto& [key, value] : newer.items) {
-    update_item(table, key, &value, newer.revision, on_change);
-  }
+  for (const std::string& key : removed)
+    update_item(table, {key, std::nullopt, newer.revision}, on_change);
+  for (const auto& [key, value] : newer.items)
+    update_item(table, {key, value, newer.revision}, on_change);
   table.revision = newer.revision;
 }
 
--- a/src/peridot-router/shared_table.h
+++ b/src/peridot-router/shared_table.h
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace peridotreach {
 
-// Items by key, and the revision of their newest change.
+// Items by key. The copy contains all changes up to `revision`: a process that
+// holds a copy with a revision never needs another one with the same revision.
 struct SharedTableState {
   std::uint64_t revision = 0;
   std::map<std::string, std::string> items;
@@ -19,20 +21,31 @@
   bool operator==(const SharedTableState&) const = default;
 };
 
+// A new value of an item; none if the item was removed.
+struct ItemChange {
+  std::string key;
+  std::optional<std::string> value;
+  std::uint64_t revision = 0;
+
+  bool operator==(const ItemChange&) const = default;
+};
+
 // Called for each changed item; `value` is null if the item was removed.
 using ItemChangeHandler =
     std::function<void(const std::string& key, const std::string* value)>;
 
-// Applies one change.
-void update_item(SharedTableState& table, const std::string& key,
-                 const std::string* value, std::uint64_t revision,
-                 const ItemChangeHandler& on_change);
+// Applies changes that were received together, in their order. Those up to the
+// table's revision are part of it already, possibly in a newer form, and are
+// ignored.
+void apply_changes(SharedTableState& table,
+                   const std::vector<ItemChange>& changes,
+                   const ItemChangeHandler& on_change);
 
-// Returns the keys of `table` that a complete read of the store at `revision`
-// did not return. Empty if the table is newer than the read.
-std::set<std::string> missing_keys(const SharedTableState& table,
-                                   const std::set<std::string>& read_keys,
-                                   std::uint64_t revision);
+// Applies a complete read of the store at `read_revision`, unless the table
+// contains newer changes.
+void apply_read(SharedTableState& table, const std::vector<ItemChange>& items,
+                std::uint64_t read_revision,
+                const ItemChangeHandler& on_change);
 
 // Replaces the whole table unless `newer` is older than it.
 void replace_table(SharedTableState& table, const SharedTableState& newer,
--- a/src/peridot-router/table_exchange.cc
+++ b/src/peridot-router/table_exchange.cc
@@ -66,12 +66,12 @@
   return handlers_.table(table).revision;
 }
 
-void TableExchange::record_change(const std::string& table,
-                                  const std::string& key,
-                                  std::uint64_t previous_revision) {
+void TableExchange::record_changes(const std::string& table,
+                                   const std::vector<ItemChange>& changes,
+                                   std::uint64_t table_revision) {
   UnpublishedChanges& unpublished = unpublished_[table];
-  if (unpublished.keys.empty()) unpublished.from_revision = previous_revision;
-  unpublished.keys.insert(key);
+  if (unpublished.keys.empty()) unpublished.from_revision = table_revision;
+  for (const ItemChange& change : changes) unpublished.keys.insert(change.key);
 }
 
 bool TableExchange::publishes(const std::string& table, bool store_reachable,
@@ -146,10 +146,12 @@
   for (const proto::SharedItem& item : change.items()) {
     if (!decode_item(item, items)) return;
   }
-  for (const auto& [key, value] : items)
-    handlers_.on_change(change.name(), key, &value, change.revision(), sender);
+  std::vector<ItemChange> changes;
+  for (auto& [key, value] : items)
+    changes.push_back({key, std::move(value), change.revision()});
   for (const std::string& key : change.removed())
-    handlers_.on_change(change.name(), key, nullptr, change.revision(), sender);
+    changes.push_back({key, std::nullopt, change.revision()});
+  handlers_.on_changes(change.name(), changes, sender);
 }
 
 void TableExchange::request_if_behind(const std::string& table,
--- a/src/peridot-router/table_exchange.h
+++ b/src/peridot-router/table_exchange.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libperidotreach/time.h"
 #include "peridot-router/shared_table.h"
@@ -32,10 +33,10 @@
   std::function<void(const std::string& table, const SharedTableState&,
                      const std::string& source)>
       on_snapshot;
-  std::function<void(const std::string& table, const std::string& key,
-                     const std::string* value, std::uint64_t revision,
+  std::function<void(const std::string& table,
+                     const std::vector<ItemChange>& changes,
                      const std::string& source)>
-      on_change;
+      on_changes;
   // Returns this process's copy of a shared table.
   std::function<const SharedTableState&(const std::string& table)> table;
 };
@@ -62,9 +63,11 @@
  public:
   TableExchange(PeerLink& link, TableHandlers handlers);
 
-  // Records a change that was read from the store.
-  void record_change(const std::string& table, const std::string& key,
-                     std::uint64_t previous_revision);
+  // Records changes that were read from the store when the table had
+  // `table_revision`.
+  void record_changes(const std::string& table,
+                      const std::vector<ItemChange>& changes,
+                      std::uint64_t table_revision);
 
   // Sends the recorded changes to the peers that this process reads the store
   // for.
--- a/tests/routing/tables_test.cc
+++ b/tests/routing/tables_test.cc
@@ -31,16 +31,34 @@
   CHECK(table.revision == 9);
 }
 
+TEST_CASE("a late response of the store does not bring back an older item",
+          "[tables]") {
+  SharedTableState table;
+  const ItemChangeHandler ignore = [](const std::string&, const std::string*) {
+  };
+  replace_table(table, {20, {{"manifest", "version 9"}}}, ignore);
+  apply_changes(table, {{"manifest", "version 4", 15}}, ignore);
+  CHECK(table.revision == 20);
+  CHECK(table.items.at("manifest") == "version 9");
+}
+
 // A router that was served by peers becomes the one that reads the store. What
 // left the store meanwhile is known only from the peers' copy.
 TEST_CASE("a complete read removes items that only a peer had sent",
           "[tables]") {
   SharedTableState table;
-  replace_table(table, {7, {{"gone", "1"}, {"stays", "2"}}},
-                [](const std::string&, const std::string*) {});
-  CHECK(missing_keys(table, {"stays"}, 9) == std::set<std::string>{"gone"});
+  std::set<std::string> removed;
+  const ItemChangeHandler note_removal = [&](const std::string& key,
+                                             const std::string* value) {
+    if (value == nullptr) removed.insert(key);
+  };
+  replace_table(table, {7, {{"gone", "1"}, {"stays", "2"}}}, note_removal);
   // A peer may have sent changes that are newer than the read.
-  CHECK(missing_keys(table, {"stays"}, 6).empty());
+  apply_read(table, {{"stays", "2", 3}}, 6, note_removal);
+  CHECK(removed.empty());
+  apply_read(table, {{"stays", "2", 3}}, 9, note_removal);
+  CHECK(removed == std::set<std::string>{"gone"});
+  CHECK(table.revision == 9);
 }
 
 TEST_CASE("callers get the addresses of live peers in their zone", "[peers]") {
