Let a push to peers claim only the revisions that it contains

What callers could see: routers of one zone kept sending to an endpoint that was draining or gone.

A router that had read a change from the store and got a later change of another item from a peer before its next tick passed on its own change with the table's revision. The receivers then ignored the other change as known.

The new function that collects unpublished changes has a test for this sequence; the code before sent revision 12 there.

A push now ends at the last revision that the store itself sent.

--- a/src/peridot-router/table_exchange.cc
+++ b/src/peridot-router/table_exchange.cc
@@ -69,9 +69,7 @@
 void TableExchange::record_changes(const std::string& table,
                                    const std::vector<ItemChange>& changes,
                                    std::uint64_t table_revision) {
-  UnpublishedChanges& unpublished = unpublished_[table];
-  if (unpublished.keys.empty()) unpublished.from_revision = table_revision;
-  for (const ItemChange& change : changes) unpublished.keys.insert(change.key);
+  add_changes(unpublished_[table], changes, table_revision);
 }
 
 bool TableExchange::publishes(const std::string& table, bool store_reachable,
@@ -96,17 +94,17 @@
 }
 
 void TableExchange::publish_changes(bool store_reachable, Millis now) {
-  for (auto& [name, unpublished] : unpublished_) {
-    if (unpublished.keys.empty()) continue;
-    const std::set<std::string> keys = std::exchange(unpublished.keys, {});
+  for (auto& [name, recorded] : unpublished_) {
+    const UnpublishedChanges unpublished = std::exchange(recorded, {});
+    if (!is_news(unpublished)) continue;
     if (!publishes(name, store_reachable, now)) continue;
     const SharedTableState& table = handlers_.table(name);
     proto::Envelope message = link_.make_envelope();
     proto::TableChange& change = *message.mutable_change();
     change.set_name(name);
     change.set_from_revision(unpublished.from_revision);
-    change.set_revision(table.revision);
-    for (const std::string& key : keys) {
+    change.set_revision(unpublished.revision);
+    for (const std::string& key : unpublished.keys) {
       const auto item = table.items.find(key);
       if (item == table.items.end()) {
         change.add_removed(key);
--- a/src/peridot-router/table_exchange.h
+++ b/src/peridot-router/table_exchange.h
@@ -6,12 +6,12 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "libperidotreach/time.h"
 #include "peridot-router/shared_table.h"
+#include "peridot-router/unpublished_changes.h"
 
 namespace peridotreach {
 
@@ -52,12 +52,6 @@
   bool operator==(const TableLag&) const = default;
 };
 
-// Changed keys of a table that have not been sent to peers yet.
-struct UnpublishedChanges {
-  std::uint64_t from_revision = 0;
-  std::set<std::string> keys;
-};
-
 // Sends and receives tables and their changes.
 class TableExchange {
  public:
--- /dev/null
+++ b/src/peridot-router/unpublished_changes.h
@@ -0,0 +1,34 @@
+#pragma once
+
+// Changes of a shared table that were read from the store and have not been
+// sent to peers yet.
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "peridot-router/shared_table.h"
+
+namespace peridotreach {
+
+// The keys that changed after `from_revision` and up to `revision`. The table
+// itself may be newer, by changes that peers sent.
+struct UnpublishedChanges {
+  std::uint64_t from_revision = 0;
+  std::uint64_t revision = 0;
+  std::set<std::string> keys;
+
+  bool operator==(const UnpublishedChanges&) const = default;
+};
+
+// Adds changes that the store sent when the table had `table_revision`.
+void add_changes(UnpublishedChanges& unpublished,
+                 const std::vector<ItemChange>& changes,
+                 std::uint64_t table_revision);
+
+// Returns whether peers whose table has the same revision as this process's
+// had before can learn something from the changes.
+bool is_news(const UnpublishedChanges& unpublished);
+
+}  // namespace peridotreach
--- a/tests/routing/tables_test.cc
+++ b/tests/routing/tables_test.cc
@@ -6,6 +6,7 @@
 #include "libperidotreach/routing/peer_view.h"
 #include "peridot-router/event_framer.h"
 #include "peridot-router/shared_table.h"
+#include "peridot-router/unpublished_changes.h"
 
 namespace peridotreach {
 namespace {
@@ -42,6 +43,23 @@
   CHECK(table.items.at("manifest") == "version 9");
 }
 
+// Two routers watch a table. One of them has read a change and gets a later one
+// of another item from the other before it passes its own on.
+TEST_CASE("a push to peers does not vouch for changes that it does not contain",
+          "[tables]") {
+  SharedTableState table;
+  const ItemChangeHandler ignore = [](const std::string&, const std::string*) {
+  };
+  replace_table(table, {10, {{"a", "1"}, {"b", "1"}}}, ignore);
+  UnpublishedChanges unpublished;
+  const std::vector<ItemChange> from_store = {{"a", "2", 11}};
+  add_changes(unpublished, from_store, table.revision);
+  apply_changes(table, from_store, ignore);
+  apply_changes(table, {{"b", "2", 12}}, ignore);
+  CHECK(unpublished == UnpublishedChanges{10, 11, {"a"}});
+  CHECK(is_news(unpublished));
+}
+
 // A router that was served by peers becomes the one that reads the store. What
 // left the store meanwhile is known only from the peers' copy.
 TEST_CASE("a complete read removes items that only a peer had sent",
