Let a read in several pages claim only the revision at its start

An item of a later page may be newer than changes of items on earlier pages, and the table took its revision. A peer that copied the table in that moment lacked those changes for good. Large deployments have more endpoints than a page has items.

Evidence: by reading; the test failed before (table.revision 12 instead of 10).

--- a/src/peridot-router/shared_table.cc
+++ b/src/peridot-router/shared_table.cc
@@ -39,7 +39,10 @@
   read.revision = table.revision;
   for (const ItemChange& item : items) {
     if (item.value) read.items[item.key] = *item.value;
-    read.revision = std::max(read.revision, item.revision);
+    // Pages are read one after another. An item of a later page may be newer
+    // than changes that an earlier one does not contain yet.
+    read.revision =
+        std::max(read.revision, std::min(item.revision, read_revision));
   }
   const bool has_removed = std::any_of(
       table.items.begin(), table.items.end(),
--- a/src/peridot-router/shared_table.h
+++ b/src/peridot-router/shared_table.h
@@ -41,8 +41,8 @@
                    const std::vector<ItemChange>& changes,
                    const ItemChangeHandler& on_change);
 
-// Applies a complete read of the store at `read_revision`, unless the table
-// contains newer changes.
+// Applies a complete read of the store that began at `read_revision`, unless
+// the table contains newer changes.
 void apply_read(SharedTableState& table, const std::vector<ItemChange>& items,
                 std::uint64_t read_revision,
                 const ItemChangeHandler& on_change);
--- a/tests/routing/tables_test.cc
+++ b/tests/routing/tables_test.cc
@@ -60,6 +60,17 @@
   CHECK(is_news(unpublished));
 }
 
+TEST_CASE("a read in several pages does not vouch for changes made meanwhile",
+          "[tables]") {
+  SharedTableState table;
+  const ItemChangeHandler ignore = [](const std::string&, const std::string*) {
+  };
+  apply_read(table, {{"a", "1", 5}, {"b", "2", 12}}, 10, ignore);
+  CHECK(table.revision == 10);
+  apply_changes(table, {{"a", "2", 11}, {"b", "2", 12}}, ignore);
+  CHECK(table == SharedTableState{12, {{"a", "2"}, {"b", "2"}}});
+}
+
 // A router that was served by peers becomes the one that reads the store. What
 // left the store meanwhile is known only from the peers' copy.
 TEST_CASE("a complete read removes items that only a peer had sent",
