Request a missing table after the first report of a newer one

What callers could see: a change of the manifest in force late at routers whose relays do not reach the store.

Cause: a table that was behind was requested when a second digest named the newer revision, 800 ms after the first one. A manifest that comes by way of another zone's relay, the own relay and the router's report needs two or three such steps, more than 3 s in the worst case, which is the time that a fleet of this size has.

The request is now made by time: 200 ms after the first report, again after 600 ms. The decision is a function of the library (table_lag.h).

--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -105,6 +105,7 @@
     log(LogLevel::kWarning, "relay_unresponsive", {{"peer", vm}});
   if (link_.refresh_topology(now, !silent.empty())) change_role(now);
   tables_.publish_changes(store_reachable, now);
+  tables_.request_missing(now);
   link_.close_idle_connections(now);
   if (topology().uses_relays) {
     tick_relays(make_digest, now);
@@ -426,10 +427,11 @@
   accept_zone_lists(digest, now);
   accept_report(digest, now);
   answer_digest(digest, now);
-  tables_.request_if_behind(kManifestTable, digest.manifest_revision,
-                            digest.self.vm, now);
-  tables_.request_if_behind(kEndpointTable, digest.endpoints_revision,
-                            digest.self.vm, now);
+  tables_.record_peer_revision(kManifestTable, digest.manifest_revision,
+                               digest.self.vm, now);
+  tables_.record_peer_revision(kEndpointTable, digest.endpoints_revision,
+                               digest.self.vm, now);
+  tables_.request_missing(now);
 }
 
 void PeerExchange::accept_zone_lists(const PeerDigest& digest, Millis now) {
--- a/src/peridot-router/table_exchange.cc
+++ b/src/peridot-router/table_exchange.cc
@@ -11,13 +11,6 @@
 namespace peridotreach {
 namespace {
 
-// Time for which a table may be behind a peer's before it is requested from
-// that peer: the change is usually still on its way from the store.
-constexpr Millis kTableLagTolerance = 200;
-
-// Minimum interval between requests for the same table.
-constexpr Millis kTableRequestInterval = 300;
-
 // Values from this size on are compressed. The manifest of a large deployment
 // would otherwise fill a relay's link for seconds.
 constexpr std::size_t kMinCompressedBytes = 8U << 10U;
@@ -137,7 +130,7 @@
     send_to_zone(message, now);
   }
   if (change.from_revision() > own_revision) {
-    request_if_behind(change.name(), change.revision(), sender, now);
+    record_peer_revision(change.name(), change.revision(), sender, now);
     return;
   }
   std::map<std::string, std::string> items;
@@ -152,23 +145,21 @@
   handlers_.on_changes(change.name(), changes, sender);
 }
 
-void TableExchange::request_if_behind(const std::string& table,
-                                      std::uint64_t peer_revision,
-                                      const std::string& vm, Millis now) {
-  const std::uint64_t own_revision = revision(table);
-  if (peer_revision <= own_revision) return;
-  TableLag& lag = lags_[table];
-  if (lag.since == 0 || lag.revision != own_revision)
-    lag = {own_revision, now, 0};
-  // An empty table means that this process has just started: it requests the
-  // table without delay.
-  if (own_revision != 0 && now - lag.since < kTableLagTolerance) return;
-  if (lag.requested_at != 0 && now - lag.requested_at < kTableRequestInterval)
-    return;
-  lag.requested_at = now;
-  proto::Envelope request = link_.make_envelope();
-  request.set_table_wanted(table);
-  link_.send_to(vm, request, now);
+void TableExchange::record_peer_revision(const std::string& table,
+                                         std::uint64_t peer_revision,
+                                         const std::string& vm, Millis now) {
+  peridotreach::record_peer_revision(lags_[table], revision(table), vm,
+                                     peer_revision, now);
+}
+
+void TableExchange::request_missing(Millis now) {
+  for (auto& [table, lag] : lags_) {
+    const auto peer = take_due_request(lag, revision(table), now);
+    if (!peer) continue;
+    proto::Envelope request = link_.make_envelope();
+    request.set_table_wanted(table);
+    link_.send_to(*peer, request, now);
+  }
 }
 
 void TableExchange::handle_request(const std::string& sender,
--- a/src/peridot-router/table_exchange.h
+++ b/src/peridot-router/table_exchange.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "libperidotreach/routing/table_lag.h"
 #include "libperidotreach/time.h"
 #include "peridot-router/shared_table.h"
 #include "peridot-router/unpublished_changes.h"
@@ -41,17 +42,6 @@
   std::function<const SharedTableState&(const std::string& table)> table;
 };
 
-// A local table that is behind a peer's copy.
-struct TableLag {
-  // Local revision when the lag was noticed, and the time of that.
-  std::uint64_t revision = 0;
-  Millis since = 0;
-  // Time of the last request for the table; 0 if there was none.
-  Millis requested_at = 0;
-
-  bool operator==(const TableLag&) const = default;
-};
-
 // Sends and receives tables and their changes.
 class TableExchange {
  public:
@@ -74,10 +64,13 @@
   void handle_table(const std::string& sender,
                     const proto::SharedTable& message);
 
-  // Requests a table from `vm` if the local copy has been behind the one there
-  // for a while.
-  void request_if_behind(const std::string& table, std::uint64_t peer_revision,
-                         const std::string& vm, Millis now);
+  // Records the revision of the copy that `vm` has.
+  void record_peer_revision(const std::string& table,
+                            std::uint64_t peer_revision, const std::string& vm,
+                            Millis now);
+
+  // Requests the tables that have been behind a peer's copy for a while.
+  void request_missing(Millis now);
 
   std::uint64_t revision(const std::string& table) const;
 
--- a/tests/routing/tables_test.cc
+++ b/tests/routing/tables_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "libperidotreach/routing/peer_view.h"
+#include "libperidotreach/routing/table_lag.h"
 #include "peridot-router/event_framer.h"
 #include "peridot-router/shared_table.h"
 #include "peridot-router/unpublished_changes.h"
@@ -71,6 +72,37 @@
   CHECK(table == SharedTableState{12, {{"a", "2"}, {"b", "2"}}});
 }
 
+TEST_CASE("a table that is behind is requested after one report of a newer one",
+          "[tables]") {
+  TableLag lag;
+  record_peer_revision(lag, 10, "b1", 12, 1000);
+  CHECK_FALSE(take_due_request(lag, 10, 1100));
+  CHECK(take_due_request(lag, 10, 1200) == "b1");
+  CHECK_FALSE(take_due_request(lag, 10, 1300));
+  record_peer_revision(lag, 10, "c1", 12, 1500);
+  CHECK(take_due_request(lag, 10, 1900) == "c1");
+  CHECK_FALSE(take_due_request(lag, 12, 2600));
+  CHECK(lag == TableLag{});
+}
+
+TEST_CASE("an empty table is requested at once, a vanished peer is not asked",
+          "[tables]") {
+  TableLag lag;
+  record_peer_revision(lag, 0, "b1", 12, 1000);
+  CHECK(take_due_request(lag, 0, 1000) == "b1");
+  CHECK_FALSE(take_due_request(lag, 0, 3100));
+  record_peer_revision(lag, 12, "b1", 12, 3200);
+  CHECK(lag == TableLag{});
+}
+
+TEST_CASE("a table that still advances is not requested", "[tables]") {
+  TableLag lag;
+  record_peer_revision(lag, 10, "b1", 14, 1000);
+  CHECK_FALSE(take_due_request(lag, 12, 1250));
+  CHECK_FALSE(take_due_request(lag, 13, 1400));
+  CHECK(take_due_request(lag, 13, 1600) == "b1");
+}
+
 // A router that was served by peers becomes the one that reads the store. What
 // left the store meanwhile is known only from the peers' copy.
 TEST_CASE("a complete read removes items that only a peer had sent",
