Log the endpoint and the shared prompt parts of each broken response

The log of a stream that broke off named neither its engine nor its prompt, so the hypotheses of docs/incidents/crashing-prompt-part.md could not be told apart: whether the requests share a fingerprint, a part of the prompt, or only an engine. response_broken now gives endpoint, fingerprint, parts, events and time since the first one. The parts are read from the request; the last one belongs to the request alone.

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -1,6 +1,7 @@
 // Requests from arrival to outcome: matching, placement, retries, timeouts.
 
 #include <algorithm>
+#include <sstream>
 
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/output_length.h"
@@ -85,9 +86,31 @@
                                 process_count(context.state));
 }
 
+// Returns numbers in hexadecimal, separated by commas.
+std::string format_hexadecimal(const std::vector<std::uint64_t>& numbers) {
+  std::ostringstream text;
+  text << std::hex;
+  for (const std::uint64_t number : numbers) {
+    if (text.tellp() > 0) text << ',';
+    text << number;
+  }
+  return text.str();
+}
+
 // Handles a request that has, or may have, run in part.
 void on_response_broken(const RoutingContext& context,
                         std::uint64_t request_number, RequestState& request) {
+  const Millis generated_for =
+      request.event_count == 0 ? 0 : context.state.now - request.first_event_at;
+  record_decision(context, "response_broken", request_number,
+                  {{"id", request.caller_request.id},
+                   {"endpoint", request.endpoint},
+                   {"fingerprint",
+                    format_hexadecimal({request.caller_request.fingerprint})},
+                   {"prompt_parts",
+                    format_hexadecimal(request.caller_request.prompt_parts)},
+                   {"events", std::to_string(request.event_count)},
+                   {"generated_ms", std::to_string(generated_for)}});
   record_crash(context.state.quarantine, request.caller_request.fingerprint,
                context.state.now);
   if (request.relaying) {
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -32,6 +32,8 @@
   std::uint32_t length_hint = 0;
   // Equal for requests with the same content.
   std::uint64_t fingerprint = 0;
+  // Parts of the prompt that other requests may share, in their order.
+  std::vector<std::uint64_t> prompt_parts;
 
   bool operator==(const CallerRequest&) const = default;
 };
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -224,6 +224,23 @@
         request.fingerprint);
 }
 
+TEST_CASE("decode_request reads the parts of a prompt that others may share",
+          "[platform]") {
+  const auto parts_of = [](const std::string& list) {
+    RawRequest raw = raw_request();
+    raw.headers.push_back({std::string(kPromptPartsHeader), list});
+    return make_wire_format().decode_request(raw).prompt_parts;
+  };
+  using Parts = std::vector<std::uint64_t>;
+  CHECK(parts_of("5c1e07a2:800, 91bd3f06:410,e4402b7d:250") ==
+        Parts{0x5c1e07a2, 0x91bd3f06});
+  CHECK(parts_of("5c1e07a2:800").empty());
+  CHECK(parts_of("").empty());
+  const Parts long_id = parts_of("0123456789abcdef0123456789abcdef:8,1:1");
+  REQUIRE(long_id.size() == 1);
+  CHECK(long_id != parts_of("0123456789abcdef0123456789abcdee:8,1:1"));
+}
+
 TEST_CASE("endpoint_request replaces reserved headers that a caller sends",
           "[platform]") {
   StartAttempt attempt;
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -18,6 +18,23 @@
   return answers.empty() ? 0 : answers.back().status;
 }
 
+// Returns the fields of a decision, with its name as `decision`.
+std::map<std::string, std::string> fields_of(const RecordDecision& decision) {
+  std::map<std::string, std::string> fields;
+  for (const DecisionField& field : decision.fields)
+    fields[field.name] = field.value;
+  fields["decision"] = decision.decision;
+  return fields;
+}
+
+// Returns the fields of the only decision among `effects`.
+std::map<std::string, std::string> only_decision(
+    const std::vector<RoutingEffect>& effects) {
+  const auto recorded = effects_of<RecordDecision>(effects);
+  REQUIRE(recorded.size() == 1);
+  return fields_of(recorded[0]);
+}
+
 // Returns a streaming request that the sample manifest accepts.
 CallerRequest stream_request() {
   CallerRequest caller_request;
@@ -79,23 +96,14 @@
 TEST_CASE("the log tells where a manifest came from and why it was ignored",
           "[routing]") {
   RouterHarness router;
-  const auto fields_of = [](const std::vector<RoutingEffect>& effects) {
-    const auto recorded = effects_of<RecordDecision>(effects);
-    REQUIRE(recorded.size() == 1);
-    std::map<std::string, std::string> fields;
-    for (const DecisionField& field : recorded[0].fields)
-      fields[field.name] = field.value;
-    fields["decision"] = recorded[0].decision;
-    return fields;
-  };
-  const auto taken = fields_of(
+  const auto taken = only_decision(
       router.apply(ManifestReceived{samples::sample_manifest(7), 31, "vm-2"}));
   CHECK(taken ==
         std::map<std::string, std::string>{{"decision", "manifest_taken"},
                                            {"version", "7"},
                                            {"revision", "31"},
                                            {"source", "vm-2"}});
-  const auto ignored = fields_of(
+  const auto ignored = only_decision(
       router.apply(ManifestReceived{samples::sample_manifest(3), 31, "store"}));
   CHECK(ignored.at("decision") == "manifest_ignored");
   CHECK(ignored.at("in_force") == "7");
@@ -263,6 +271,34 @@
   CHECK(effects_of<StartAttempt>(effects).empty());
 }
 
+TEST_CASE("the log names the endpoint and the prompt of a broken response",
+          "[routing]") {
+  RouterHarness router;
+  RequestArrived event;
+  event.request = 500;
+  event.caller_request = stream_request();
+  event.caller_request.id = "id-1";
+  event.caller_request.fingerprint = 0xf1;
+  event.caller_request.prompt_parts = {0xa, 0xbc};
+  router.answer_placements(router.apply(event));
+  const std::string endpoint = router.last_attempt(500).endpoint;
+  router.apply(StreamOpened{500, 1});
+  router.apply(StreamEventReceived{500, 1, 0});
+  router.advance(70);
+  const auto effects =
+      router.apply(AttemptEnded{500, 1, AttemptOutcome::kBroken, 200});
+  const auto recorded = effects_of<RecordDecision>(effects);
+  REQUIRE_FALSE(recorded.empty());
+  CHECK(fields_of(recorded[0]) ==
+        std::map<std::string, std::string>{{"decision", "response_broken"},
+                                           {"id", "id-1"},
+                                           {"endpoint", endpoint},
+                                           {"fingerprint", "f1"},
+                                           {"prompt_parts", "a,bc"},
+                                           {"events", "1"},
+                                           {"generated_ms", "70"}});
+}
+
 TEST_CASE("endpoint crashes reported by peers are counted", "[routing]") {
   RouterHarness router;
   PeerReportReceived report;
