Quarantine prompts that share a part which crashes engines

Cause: what an observation is filed under. Crashes were counted by the fingerprint of a request (method, target, key, body). No two of these requests are equal, so each was seen at one crash only, and counting the same thing in more processes could not help.

Other prompts broken at the same crashes had mostly run for over a second. The test 'prompts with a part that crashes engines no longer reach them' failed before (0 == 503).

Processes now report which prompts had just begun at a crash, and which parts generations ran on since. Each works out by itself which part explains crashes: the one that was there at most of them. Three crashes apart from one another quarantine it. Parts that occurred only together with it are part of the pattern, so prompts that hold some of them are served, and their run shows which part is sound. State and reports are bounded; what explains a crash is the last to be evicted.

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -53,6 +53,20 @@
   return crashes;
 }
 
+// Rejects a request that has not run if its prompt crashes engines. Returns
+// whether it was rejected.
+bool reject_quarantined(const RoutingContext& context,
+                        std::uint64_t request_number,
+                        const RequestState& request) {
+  const bool is_rejected = request.attempt == 0 &&
+                           is_quarantined(context.state.prompt_quarantine,
+                                          request.caller_request.prompt_parts);
+  if (!is_rejected) return false;
+  fail_request(context, request_number, kHttpServiceUnavailable, -1,
+               "prompt_crashes_endpoints");
+  return true;
+}
+
 bool is_overdue(const RoutingState& state, const RequestState& request) {
   return request.deadline - state.now < kMinTimeLeft;
 }
@@ -62,6 +76,7 @@
 // stated that it did not run it.
 void place_request(const RoutingContext& context, std::uint64_t request_number,
                    RequestState& request, const std::string& excluded) {
+  if (reject_quarantined(context, request_number, request)) return;
   EndpointCriteria criteria;
   criteria.service = request.service;
   criteria.projected_tokens = request.projected_tokens;
@@ -97,6 +112,37 @@
   return text.str();
 }
 
+// Records a prompt whose generation had just begun when its endpoint crashed.
+// An endpoint that was leaving ended for that reason.
+void record_crash_of_prompt(const RoutingContext& context,
+                            const RequestState& request) {
+  const bool has_just_begun =
+      request.event_count == 0 ||
+      context.state.now - request.first_event_at < kSoundAfter;
+  const EndpointState* endpoint = find_endpoint(context, request.endpoint);
+  const bool counts = request.route.kind == CallKind::kStream &&
+                      !request.is_prompt_sound && has_just_begun &&
+                      endpoint != nullptr && endpoint->leaving_since == 0;
+  if (!counts) return;
+  record_pattern_change(
+      context,
+      record_prompt_crash(
+          context.state.prompt_quarantine, request.caller_request.prompt_parts,
+          crash_identity(endpoint->entry.id, endpoint->entry.started_at_ms),
+          context.state.now),
+      context.state.config.vm);
+}
+
+void record_soundness(const RoutingContext& context, RequestState& request) {
+  if (request.is_prompt_sound) return;
+  request.is_prompt_sound = true;
+  record_pattern_change(context,
+                        record_sound_prompt(context.state.prompt_quarantine,
+                                            request.caller_request.prompt_parts,
+                                            context.state.now),
+                        context.state.config.vm);
+}
+
 // Handles a request that has, or may have, run in part.
 void on_response_broken(const RoutingContext& context,
                         std::uint64_t request_number, RequestState& request) {
@@ -113,6 +159,7 @@
                    {"generated_ms", std::to_string(generated_for)}});
   record_crash(context.state.quarantine, request.caller_request.fingerprint,
                context.state.now);
+  record_crash_of_prompt(context, request);
   if (request.relaying) {
     record_decision(
         context, "outcome", request_number,
@@ -389,6 +436,10 @@
     respond(kHttpServiceUnavailable, -1, "crashes_endpoints");
     return;
   }
+  if (is_quarantined(state.prompt_quarantine, caller_request.prompt_parts)) {
+    respond(kHttpServiceUnavailable, -1, "prompt_crashes_endpoints");
+    return;
+  }
   RequestState request;
   request.caller_request = caller_request;
   request.route = *route;
@@ -461,6 +512,7 @@
            {"ms", std::to_string(context.state.now - request->arrived_at)}});
       clear_suspect(context.state.quarantine,
                     request->caller_request.fingerprint);
+      record_soundness(context, *request);
       record_output_length(context.state, *request,
                            produced_tokens(context.state, *request));
       context.effects.push_back(FinishStream{event.request});
@@ -537,6 +589,23 @@
   request->event_count += 1;
   reserve_for_overrun(context, *request);
   request->last_event_id = event.event_id;
+  if (context.state.now - request->first_event_at >= kSoundAfter)
+    record_soundness(context, *request);
+}
+
+void record_pattern_change(const RoutingContext& context,
+                           const PatternChange& change,
+                           const std::string& source) {
+  for (const PromptPattern& pattern : change.added) {
+    record_decision(
+        context, "prompt_quarantined", 0,
+        {{"prompt_parts", format_hexadecimal(pattern)}, {"source", source}});
+  }
+  for (const PromptPattern& pattern : change.removed) {
+    record_decision(
+        context, "prompt_released", 0,
+        {{"prompt_parts", format_hexadecimal(pattern)}, {"source", source}});
+  }
 }
 
 void place_waiting_requests(const RoutingContext& context) {
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -11,6 +11,7 @@
 
 #include "libperidotreach/routing/endpoint_entry.h"
 #include "libperidotreach/routing/manifest.h"
+#include "libperidotreach/routing/prompt_quarantine.h"
 #include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/time.h"
 
@@ -235,6 +236,14 @@
   bool operator==(const PeerReportReceived&) const = default;
 };
 
+// What a peer knows of prompts that crash engines.
+struct PromptReportReceived {
+  std::string peer;
+  PromptReport report;
+
+  bool operator==(const PromptReportReceived&) const = default;
+};
+
 // A peer left or became silent.
 struct PeerLost {
   std::string peer;
@@ -252,8 +261,8 @@
                RequestArrived, CallerDisconnected, AttemptEnded, StreamOpened,
                StreamEventReceived, CopyFinished, CopyLeaseGranted,
                CopyLeaseQueued, PlacementRequested, PlacementAnswered,
-               ForwardedPlacementGranted, PeerReportReceived, PeerLost,
-               RoutingTicked>
+               ForwardedPlacementGranted, PeerReportReceived,
+               PromptReportReceived, PeerLost, RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -226,6 +226,13 @@
   }
 }
 
+void apply(const RoutingContext& context, const PromptReportReceived& event) {
+  RoutingState& state = context.state;
+  record_pattern_change(
+      context, merge_report(state.prompt_quarantine, event.report, state.now),
+      event.peer);
+}
+
 void apply(const RoutingContext& context, const PeerLost& event) {
   RoutingState& state = context.state;
   const auto removed = state.peer_reports.extract(event.peer);
@@ -240,6 +247,9 @@
   place_waiting_requests(context);
   plan_moves(context);
   expire_suspects(state.quarantine, state.now);
+  record_pattern_change(context,
+                        expire_prompts(state.prompt_quarantine, state.now),
+                        state.config.vm);
   std::erase_if(state.peer_retry_reports, [&](const auto& entry) {
     return state.now - entry.second.received_at >
            state.config.retry_limits.window;
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -13,6 +13,7 @@
 #include "libperidotreach/quarantine.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/placement_queue.h"
+#include "libperidotreach/routing/prompt_quarantine.h"
 #include "libperidotreach/routing/queue_wait.h"
 #include "libperidotreach/routing/routing_effect.h"
 #include "libperidotreach/routing/routing_event.h"
@@ -128,6 +129,8 @@
   Millis first_event_at = 0;
   Millis last_event_at = 0;
   Millis longest_event_gap = 0;
+  // The generation ran on for long enough to show that its prompt is sound.
+  bool is_prompt_sound = false;
   // Endpoints that continued the generation after the first one.
   std::uint32_t move_count = 0;
   // The endpoint that last stopped the generation and keeps its KV cache for a
@@ -225,6 +228,7 @@
   std::map<std::string, PeerReport> peer_reports;
   // Fingerprints of requests that were in flight when endpoints crashed.
   Quarantine quarantine;
+  PromptQuarantine prompt_quarantine;
 
   bool operator==(const RoutingState&) const = default;
 };
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -83,6 +83,11 @@
 void on_stream_event_received(const RoutingContext& context,
                               const StreamEventReceived& event);
 void end_overdue_requests(const RoutingContext& context);
+// Records which prompts are rejected from now on, or no longer, by what
+// `source`, a peer or this process, has seen.
+void record_pattern_change(const RoutingContext& context,
+                           const PatternChange& change,
+                           const std::string& source);
 // Retries the placement of waiting requests: prioritized ones first, then by
 // rank.
 void place_waiting_requests(const RoutingContext& context);
--- a/src/peridot-router/digest_codec.cc
+++ b/src/peridot-router/digest_codec.cc
@@ -1,5 +1,7 @@
 #include "peridot-router/digest_codec.h"
 
+#include <algorithm>
+
 #include "fleet.pb.h"
 
 namespace peridotreach {
@@ -85,9 +87,41 @@
   return report;
 }
 
+std::uint32_t age_of(Millis at, Millis now) {
+  return static_cast<std::uint32_t>(std::max<Millis>(0, now - at));
+}
+
+void encode_prompts(const PromptReport& prompts, Millis now,
+                    proto::RoutingDigest& message) {
+  for (const PromptCrash& crash : prompts.crashes) {
+    proto::PromptCrashCell& cell = *message.add_prompt_crashes();
+    cell.set_crash(crash.crash);
+    for (const std::uint64_t part : crash.parts) cell.add_parts(part);
+    cell.set_age_ms(age_of(crash.at, now));
+  }
+  for (const auto& [part, at] : prompts.sound_at) {
+    proto::SoundPartCell& cell = *message.add_sound_parts();
+    cell.set_part(part);
+    cell.set_age_ms(age_of(at, now));
+  }
+}
+
+PromptReport decode_prompts(const proto::RoutingDigest& message, Millis now) {
+  PromptReport prompts;
+  for (const proto::PromptCrashCell& cell : message.prompt_crashes()) {
+    prompts.crashes.push_back({cell.crash(),
+                               {cell.parts().begin(), cell.parts().end()},
+                               now - cell.age_ms()});
+  }
+  for (const proto::SoundPartCell& cell : message.sound_parts())
+    prompts.sound_at[cell.part()] = now - cell.age_ms();
+  return prompts;
+}
+
 }  // namespace
 
-void encode_digest(const PeerDigest& digest, proto::RoutingDigest& message) {
+void encode_digest(const PeerDigest& digest, Millis now,
+                   proto::RoutingDigest& message) {
   encode_record(digest.self, *message.mutable_self());
   message.set_ready(digest.status.ready);
   message.set_stopping(digest.status.stopping);
@@ -97,6 +131,7 @@
   message.set_scope(static_cast<proto::RoutingDigest::Scope>(digest.scope));
   message.set_answer(static_cast<proto::RoutingDigest::Answer>(digest.answer));
   encode_report(digest.report, message);
+  encode_prompts(digest.prompts, now, message);
   for (const ZoneMember& peer : digest.known_peers)
     encode_member(peer, *message.add_peers());
   for (const ZoneList& list : digest.zones) {
@@ -110,7 +145,7 @@
   }
 }
 
-PeerDigest decode_digest(const proto::RoutingDigest& message) {
+PeerDigest decode_digest(const proto::RoutingDigest& message, Millis now) {
   PeerDigest digest;
   digest.self = decode_record(message.self());
   digest.status = {message.ready(), message.stopping(), message.reads_store()};
@@ -119,6 +154,7 @@
   digest.scope = static_cast<ReportScope>(message.scope());
   digest.answer = static_cast<DigestAnswer>(message.answer());
   digest.report = decode_report(message);
+  digest.prompts = decode_prompts(message, now);
   for (const proto::PeerCell& cell : message.peers())
     digest.known_peers.push_back(decode_member(cell));
   for (const proto::ZoneMembersCell& cell : message.zones()) {
--- a/src/peridot-router/digest_codec.h
+++ b/src/peridot-router/digest_codec.h
@@ -10,9 +10,11 @@
 class RoutingDigest;
 }
 
-// Writes `digest` into an empty message.
-void encode_digest(const PeerDigest& digest, proto::RoutingDigest& message);
+// Writes `digest` into an empty message. Times are sent as ages, as processes
+// do not share a clock.
+void encode_digest(const PeerDigest& digest, Millis now,
+                   proto::RoutingDigest& message);
 
-PeerDigest decode_digest(const proto::RoutingDigest& message);
+PeerDigest decode_digest(const proto::RoutingDigest& message, Millis now);
 
 }  // namespace peridotreach
--- a/src/peridot-router/peer_digest.h
+++ b/src/peridot-router/peer_digest.h
@@ -39,6 +39,7 @@
   DigestAnswer answer = DigestAnswer::kNone;
   // The figures; `peer` is not sent.
   PeerReportReceived report;
+  PromptReport prompts;
   // Live peers, for a process that does not know the fleet yet.
   std::vector<ZoneMember> known_peers;
   std::vector<ZoneList> zones;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -153,7 +153,7 @@
 void PeerExchange::send_digest(const std::string& vm, const PeerDigest& digest,
                                Millis now) {
   proto::Envelope message = link_.make_envelope();
-  encode_digest(digest, *message.mutable_digest());
+  encode_digest(digest, now, *message.mutable_digest());
   link_.send_to(vm, message, now);
 }
 
@@ -165,6 +165,7 @@
   digest.manifest_revision = tables_.revision(kManifestTable);
   digest.endpoints_revision = tables_.revision(kEndpointTable);
   digest.report = last_digest_.report;
+  digest.prompts = last_digest_.prompts;
   return digest;
 }
 
@@ -197,7 +198,7 @@
 
 void PeerExchange::broadcast_digest(Millis now) {
   proto::Envelope message = link_.make_envelope();
-  encode_digest(own_digest(), *message.mutable_digest());
+  encode_digest(own_digest(), now, *message.mutable_digest());
   bool any_peer_heard = false;
   const auto peers = static_cast<Millis>(view().peers.size());
   const bool include_other_zones =
@@ -292,7 +293,7 @@
   if (sends_list) last_complete_list_at_ = now;
   digest.zones.front().is_complete = sends_list;
   proto::Envelope message = link_.make_envelope();
-  encode_digest(digest, *message.mutable_digest());
+  encode_digest(digest, now, *message.mutable_digest());
   for (const std::string& vm : relays_outside(topology(), self().zone))
     link_.send_to(vm, message, now);
 }
@@ -333,7 +334,7 @@
   PeerDigest digest = own_digest();
   digest.answer = DigestAnswer::kState;
   proto::Envelope message = link_.make_envelope();
-  encode_digest(digest, *message.mutable_digest());
+  encode_digest(digest, now, *message.mutable_digest());
   for (const std::string& seed : seeds_) link_.send_to_address(seed, message);
   std::size_t sent = 0;
   for (const auto& [vm, peer] : view().peers) {
@@ -426,6 +427,8 @@
   if (is_new) handle_new_peer(digest, now);
   accept_zone_lists(digest, now);
   accept_report(digest, now);
+  if (digest.prompts != PromptReport())
+    handlers_.on_prompt_report({digest.self.vm, digest.prompts});
   answer_digest(digest, now);
   tables_.record_peer_revision(kManifestTable, digest.manifest_revision,
                                digest.self.vm, now);
@@ -501,7 +504,7 @@
   const std::string& sender = message.vm();
   switch (message.body_case()) {
     case proto::Envelope::kDigest:
-      handle_digest(decode_digest(message.digest()), now);
+      handle_digest(decode_digest(message.digest(), now), now);
       return;
     case proto::Envelope::kTableWanted:
       tables_.handle_request(sender, message.table_wanted(), now);
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -26,6 +26,7 @@
   bool stopping = false;
   bool store_reachable = true;
   PeerReportReceived report;
+  PromptReport prompts;
 
   bool operator==(const LocalDigest&) const = default;
 };
@@ -33,6 +34,7 @@
 // Callbacks for messages from peers.
 struct PeerHandlers {
   std::function<void(const PeerReportReceived&)> on_peer_report;
+  std::function<void(const PromptReportReceived&)> on_prompt_report;
   std::function<void(const std::string& vm)> on_peer_lost;
   std::function<void(const EndpointLeaving&)> on_endpoint_leaving;
   // Whether the relay of this process reaches the store.
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -79,6 +79,7 @@
       peers_(io, record_of(settings_, incarnation),
              PeerHandlers{
                  [this](const PeerReportReceived& report) { post(report); },
+                 [this](const PromptReportReceived& report) { post(report); },
                  [this](const std::string& vm) { post(PeerLost{vm}); },
                  [this](const EndpointLeaving& notice) { post(notice); },
                  [this](bool is_reachable) {
@@ -257,6 +258,8 @@
   for (const auto& [fingerprint, suspect] : state_.quarantine.suspects) {
     report.suspects.emplace_back(fingerprint, suspect.crashes);
   }
+  digest.prompts = make_report(state_.prompt_quarantine,
+                               peers_.topology().is_relay, state_.now);
   return digest;
 }
 
