Do not take an empty stream that ended with its connection for complete

What callers could see: a stream without any event, marked as complete. It is the answer of an engine that crashed before it wrote its first event, if it sends neither a length nor chunks.

Cause: the end of a connection was taken as a sound end of whatever had come before. It is the only end that such an answer has, so it cannot tell a finished generation from a crash.

Evidence: tests/system/answer_framing_test.py, 13 shapes of answers. Before: 'no-event: passed on as complete', 12 others held, among them a stream that ends inside an event and a connection that is reset.

An unframed stream is complete with one whole event at least, and an end by the connection alone clears nothing.

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -210,13 +210,14 @@
 
 void deliver_response(const RoutingContext& context,
                       std::uint64_t request_number, const RequestState& request,
-                      unsigned status) {
+                      const AttemptEnded& event) {
   record_decision(
       context, "outcome", request_number,
-      {{"status", std::to_string(status)},
+      {{"status", std::to_string(event.status)},
        {"endpoint", request.endpoint},
        {"ms", std::to_string(context.state.now - request.arrived_at)}});
-  clear_suspect(context.state.quarantine, request.caller_request.fingerprint);
+  if (!event.ended_by_connection)
+    clear_suspect(context.state.quarantine, request.caller_request.fingerprint);
   context.effects.push_back(DeliverResponse{
       request_number, request.attempt, first_byte_latency(context, request)});
   release_request(context, request_number);
@@ -226,13 +227,13 @@
 
 void on_complete_response(const RoutingContext& context,
                           std::uint64_t request_number, RequestState& request,
-                          unsigned status) {
-  const bool failed = status >= kFirstServerError;
+                          const AttemptEnded& event) {
+  const bool failed = event.status >= kFirstServerError;
   if (failed && try_take_request_retry(context, request)) {
     place_request(context, request_number, request, request.endpoint);
     return;
   }
-  deliver_response(context, request_number, request, status);
+  deliver_response(context, request_number, request, event);
 }
 
 void on_not_run(const RoutingContext& context, std::uint64_t request_number,
@@ -496,7 +497,7 @@
         on_response_broken(context, event.request, *request);
         return;
       }
-      on_complete_response(context, event.request, *request, event.status);
+      on_complete_response(context, event.request, *request, event);
       return;
     case AttemptOutcome::kStreamEnded:
       record_decision(
@@ -510,9 +511,11 @@
            {"longest_pause_ms", std::to_string(request->longest_event_gap)},
            {"moves", std::to_string(request->move_count)},
            {"ms", std::to_string(context.state.now - request->arrived_at)}});
-      clear_suspect(context.state.quarantine,
-                    request->caller_request.fingerprint);
-      record_soundness(context, *request);
+      if (!event.ended_by_connection) {
+        clear_suspect(context.state.quarantine,
+                      request->caller_request.fingerprint);
+        record_soundness(context, *request);
+      }
       record_output_length(context.state, *request,
                            produced_tokens(context.state, *request));
       context.effects.push_back(FinishStream{event.request});
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -104,6 +104,9 @@
   std::uint32_t attempt = 0;
   AttemptOutcome outcome = AttemptOutcome::kBroken;
   unsigned status = 0;
+  // The end of the connection was the only sign of the end of a response that
+  // counts as complete. A crash can look the same.
+  bool ended_by_connection = false;
 };
 
 // The response head of a stream arrived; events follow.
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -64,6 +64,7 @@
                                        const PostRoutingEvent& post) {
   EventFramer framer;
   HttpConnection& connection = attempt.connection;
+  bool has_event = false;
   std::int64_t last_event_id = attempt.params.source.handle.empty()
                                    ? -1
                                    : attempt.params.source.last_event_id;
@@ -71,8 +72,12 @@
     const std::string bytes = co_await connection.read_some(kReadTimeout);
     if (attempt.cancelled) co_return AttemptOutcome::kBroken;
     if (bytes.empty()) {
-      const bool is_complete =
-          connection.response_complete() && !framer.has_partial_event();
+      // Without a length or chunks, a connection that was closed before the
+      // first event is not an empty stream.
+      const bool has_end =
+          has_event || !connection.response_ends_with_connection();
+      const bool is_complete = connection.response_complete() &&
+                               !framer.has_partial_event() && has_end;
       co_return is_complete ? AttemptOutcome::kStreamEnded
                             : AttemptOutcome::kBroken;
     }
@@ -80,6 +85,7 @@
       const bool in_order =
           event.id < 0 || last_event_id < 0 || event.id == last_event_id + 1;
       if (!in_order) co_return AttemptOutcome::kBroken;
+      has_event = true;
       if (event.id >= 0) last_event_id = event.id;
       exchange.append_stream(event.bytes);
       post(StreamEventReceived{attempt.params.request, attempt.params.attempt,
@@ -116,10 +122,14 @@
     post(StreamOpened{params.request, params.attempt});
     const AttemptOutcome outcome =
         co_await relay_events(attempt, exchange, post);
-    co_return make_ended(attempt, outcome, status);
+    AttemptEnded ended = make_ended(attempt, outcome, status);
+    ended.ended_by_connection = connection.response_ends_with_connection();
+    co_return ended;
   }
   const AttemptOutcome outcome = co_await read_body(attempt);
-  co_return make_ended(attempt, outcome, status);
+  AttemptEnded ended = make_ended(attempt, outcome, status);
+  ended.ended_by_connection = connection.response_ends_with_connection();
+  co_return ended;
 }
 
 }  // namespace
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -79,6 +79,10 @@
   // Returns whether the response was read to its end.
   bool response_complete() const { return response_complete_; }
 
+  // Returns whether the response has neither a length nor chunks, so that it
+  // ends with the connection.
+  bool response_ends_with_connection() const { return parser_->need_eof(); }
+
   // Returns whether another request may be sent after a complete response:
   // the server has neither closed the connection nor sent anything more, which
   // would be taken for the next response.
--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -133,6 +133,18 @@
   CHECK(router.state.prompt_quarantine.sound_at.contains(kShared));
 }
 
+TEST_CASE("a stream whose end is only that of its connection clears nothing",
+          "[prompts]") {
+  const bool ended_by_connection = GENERATE(true, false);
+  RouterHarness router;
+  send(router, 500, {kCrashing});
+  router.apply(StreamOpened{500, 1});
+  router.apply(StreamEventReceived{500, 1, 0});
+  router.apply(AttemptEnded{500, 1, AttemptOutcome::kStreamEnded, 200,
+                            ended_by_connection});
+  CHECK(router.state.prompt_quarantine.sound_at.empty() == ended_by_connection);
+}
+
 TEST_CASE("two crashes, or crashes at one moment, are a coincidence",
           "[prompts]") {
   PromptQuarantine quarantine;
--- /dev/null
+++ b/tests/system/answer_framing_test.py
@@ -0,0 +1,100 @@
+#!/usr/bin/env python3
+"""Answers of endpoints with and without a length or chunks. One that has neither
+ends with its connection; it is passed on as complete only if it was."""
+
+import asyncio
+import socket
+import struct
+import sys
+import tempfile
+
+from router_bench import Bench, STAMP, read_message, request
+
+NET = "127.0.36"
+EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
+PARTIAL = b"id: 2\ndata: c"
+BODY = b"the whole body"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+# Kind of route, headers, body, whether the connection is reset at the end, and
+# the body that the caller gets; None if the answer must not look complete.
+CASES = {
+    "plain": ("idempotent", "", BODY, False, BODY),
+    "plain-empty": ("idempotent", "", b"", False, b""),
+    "plain-reset": ("idempotent", "", BODY, True, None),
+    "events": ("stream", "", EVENTS, False, EVENTS),
+    "events-reset": ("stream", "", EVENTS, True, None),
+    "inside-event": ("stream", "", EVENTS + PARTIAL, False, None),
+    "inside-first-event": ("stream", "", PARTIAL, False, None),
+    "no-event": ("stream", "", b"", False, None),
+    "no-event-reset": ("stream", "", b"", True, None),
+    "chunks": ("stream", CHUNKED, b"%x\r\n%s\r\n0\r\n\r\n" %
+               (len(EVENTS), EVENTS), False, EVENTS),
+    "chunks-no-event": ("stream", CHUNKED, b"0\r\n\r\n", False, b""),
+    "chunks-inside-event": ("stream", CHUNKED, b"%x\r\n%s\r\n0\r\n\r\n" %
+                            (len(PARTIAL), PARTIAL), False, None),
+    "chunks-cut": ("stream", CHUNKED, b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS),
+                   False, None),
+}
+# Lets the router read what was sent before a reset discards it.
+RESET_DELAY_S = 0.1
+
+
+async def serve(reader, writer):
+    """Answers one request as the case says that its path names."""
+    message = await read_message(reader)
+    if message is None:
+        writer.close()
+        return
+    kind, headers, body, is_reset, _ = CASES[message.target.rpartition("/")[2]]
+    if kind == "stream":
+        headers += "Content-Type: text/event-stream\r\n"
+    identity = message.get("peridotreach-request-id")
+    writer.write((f"HTTP/1.1 200 OK\r\nPeridotreach-Request-Id: {identity}\r\n"
+                  f"{STAMP[0]}: {STAMP[1]}\r\n{headers}\r\n").encode() + body)
+    await writer.drain()
+    if is_reset:
+        await asyncio.sleep(RESET_DELAY_S)
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        return
+    writer.close()
+
+
+async def play(bench, name):
+    """Plays one case. Returns what went wrong."""
+    expected = CASES[name][-1]
+    reader, writer = await bench.connect()
+    writer.write(request("/entry/" + name))
+    answer = await asyncio.wait_for(read_message(reader), 5)
+    writer.close()
+    is_success = answer is not None and answer.status == 200
+    if expected is None:
+        return [f"{name}: passed on as complete"] if is_success else []
+    if not is_success:
+        return [f"{name}: the caller got no success"]
+    if answer.body != expected:
+        return [f"{name}: the caller got {answer.body!r}"]
+    return []
+
+
+async def run(folder, kind):
+    """Plays the cases on one kind of route."""
+    bench = Bench(NET, folder, kind, serve)
+    await bench.start()
+    faults = []
+    for name, case in CASES.items():
+        if case[0] == kind:
+            faults += await play(bench, name)
+    await bench.stop()
+    return faults
+
+
+found = []
+for route_kind in ("idempotent", "stream"):
+    with tempfile.TemporaryDirectory() as directory:
+        found += asyncio.run(run(directory, route_kind))
+for fault in found:
+    print(fault)
+print(f"{len(CASES)} cases, {len(found)} faults")
+sys.exit(1 if found else 0)
