Reject a quarantined stream also after a failed connection

What callers could see: a request whose prompt crashes engines, sent to another engine after its first connection had failed.

Cause: only a request without any attempt was rejected. An attempt whose connection failed sent nothing, so rejecting as not run is true then too. The new test failed before (0 == 503).

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -58,9 +58,12 @@
 bool reject_quarantined(const RoutingContext& context,
                         std::uint64_t request_number,
                         const RequestState& request) {
-  const bool is_rejected = request.attempt == 0 &&
-                           is_quarantined(context.state.prompt_quarantine,
-                                          request.caller_request.prompt_parts);
+  // Streams are placed again only if no endpoint ran them.
+  const bool has_not_run =
+      request.sent_attempts == 0 || request.route.kind == CallKind::kStream;
+  const bool is_rejected =
+      has_not_run && is_quarantined(context.state.prompt_quarantine,
+                                    request.caller_request.prompt_parts);
   if (!is_rejected) return false;
   fail_request(context, request_number, kHttpServiceUnavailable, -1,
                "prompt_crashes_endpoints");
--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -104,6 +104,21 @@
   CHECK(router.state.requests.empty());
 }
 
+TEST_CASE("a quarantined stream is not sent again after a failed connection",
+          "[prompts]") {
+  RouterHarness router;
+  send(router, 600, {kShared, kCrashing});
+  PromptQuarantine peer;
+  crash(peer, {kShared, kCrashing}, 3, router.now);
+  router.advance(3 * kSecond);
+  router.apply(
+      PromptReportReceived{"vm-2", make_report(peer, true, router.now)});
+  const auto effects =
+      router.apply(AttemptEnded{600, 1, AttemptOutcome::kNotSent, 0});
+  CHECK(local_status(effects) == 503);
+  CHECK(effects_of<StartAttempt>(effects).empty());
+}
+
 TEST_CASE("crashes of engines that were leaving say nothing of a prompt",
           "[prompts]") {
   RouterHarness router;
