--- a/src/libperidotreach/routing/prompt_quarantine.cc
+++ b/src/libperidotreach/routing/prompt_quarantine.cc
@@ -84,8 +84,8 @@
   return separate;
 }
 
-// Returns the parts that explain enough crashes. Of the parts that were there,
-// those that were there at most crashes explain a crash.
+// Returns the parts that explain enough crashes. A crash is explained by those
+// of its parts that were present at the most crashes.
 std::vector<std::uint64_t> culprits(
     const std::map<std::uint64_t, CrashTimes>& by_part) {
   std::map<std::uint64_t, std::size_t> most_by_crash;
@@ -107,8 +107,7 @@
   return found;
 }
 
-// Returns the parts that were there at each crash on `part`, in prompts that
-// hold `part`.
+// Returns the parts that occurred together with `part` at each of its crashes.
 PromptPattern pattern_of(const std::vector<PromptCrash>& crashes,
                          std::uint64_t part) {
   std::map<std::uint64_t, std::set<std::uint64_t>> parts_by_crash;
@@ -146,9 +145,9 @@
   return change;
 }
 
-// Removes the oldest of the crashes that say least: those whose parts were
-// there at the fewest crashes.
-void remove_least_telling(std::vector<PromptCrash>& crashes) {
+// Removes the oldest of those records whose parts were present at the fewest
+// crashes.
+void remove_least_informative(std::vector<PromptCrash>& crashes) {
   const auto by_part = crashes_by_part(crashes);
   const auto most_crashes = [&](const PromptCrash& crash) {
     std::size_t most = 0;
@@ -199,7 +198,7 @@
       [](const PromptCrash& a, const PromptCrash& b) { return a.at < b.at; });
   quarantine.crashes.insert(later, std::move(observed));
   if (quarantine.crashes.size() > kMaxCrashes)
-    remove_least_telling(quarantine.crashes);
+    remove_least_informative(quarantine.crashes);
   return true;
 }
 
--- a/src/libperidotreach/routing/prompt_quarantine.h
+++ b/src/libperidotreach/routing/prompt_quarantine.h
@@ -33,7 +33,7 @@
   bool operator==(const PromptCrash&) const = default;
 };
 
-// A part that was there at a crash.
+// A part that was present at a crash.
 struct CrashedPart {
   Millis last_crash_at = 0;
   // When a generation on it first ran on after that; 0 if none did. Unlike the
@@ -64,7 +64,7 @@
   std::vector<PromptCrash> crashes;
   // When a generation on a part was last seen to run on.
   std::map<std::uint64_t, Millis> sound_at;
-  // Parts that were there at crashes, whether they are sound or not.
+  // Parts that were present at crashes, whether they are sound or not.
   std::map<std::uint64_t, CrashedPart> crashed_parts;
   // Derived from the above.
   std::vector<PromptPattern> patterns;
@@ -72,7 +72,7 @@
   bool operator==(const PromptQuarantine&) const = default;
 };
 
-// Patterns that came into force, and whether any ceased to be.
+// Patterns that came into force, and those that are no longer.
 struct PatternChange {
   std::vector<PromptPattern> added;
   std::vector<PromptPattern> removed;
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -117,8 +117,8 @@
 
 // Records a prompt whose generation had just begun when its endpoint crashed.
 // An endpoint that was leaving ended for that reason.
-void record_crash_of_prompt(const RoutingContext& context,
-                            const RequestState& request) {
+void observe_prompt_crash(const RoutingContext& context,
+                          const RequestState& request) {
   const bool has_just_begun =
       request.event_count == 0 ||
       context.state.now - request.first_event_at < kSoundAfter;
@@ -136,7 +136,9 @@
       context.state.config.vm);
 }
 
-void record_soundness(const RoutingContext& context, RequestState& request) {
+// Records that the generation ran on or ended well, once per request.
+void observe_sound_prompt(const RoutingContext& context,
+                          RequestState& request) {
   if (request.is_prompt_sound) return;
   request.is_prompt_sound = true;
   record_pattern_change(context,
@@ -162,7 +164,7 @@
                    {"generated_ms", std::to_string(generated_for)}});
   record_crash(context.state.quarantine, request.caller_request.fingerprint,
                context.state.now);
-  record_crash_of_prompt(context, request);
+  observe_prompt_crash(context, request);
   if (request.relaying) {
     record_decision(
         context, "outcome", request_number,
@@ -517,7 +519,7 @@
       if (!event.ended_by_connection) {
         clear_suspect(context.state.quarantine,
                       request->caller_request.fingerprint);
-        record_soundness(context, *request);
+        observe_sound_prompt(context, *request);
       }
       record_output_length(context.state, *request,
                            produced_tokens(context.state, *request));
@@ -596,7 +598,7 @@
   reserve_for_overrun(context, *request);
   request->last_event_id = event.event_id;
   if (context.state.now - request->first_event_at >= kSoundAfter)
-    record_soundness(context, *request);
+    observe_sound_prompt(context, *request);
 }
 
 void record_pattern_change(const RoutingContext& context,
