--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -6,7 +6,10 @@
 #include <catch2/catch.hpp>
 #include <random>
 
+#include "fleet.pb.h"
 #include "libperidotreach/quarantine.h"
+#include "peridot-router/digest_codec.h"
+#include "peridot-router/peer_digest.h"
 #include "tests/routing/router_harness.h"
 
 namespace peridotreach {
@@ -231,6 +234,20 @@
   CHECK(make_report(peer, true, 3000).crashes.size() == 2);
 }
 
+TEST_CASE("a digest carries a report of prompts between different clocks",
+          "[prompts]") {
+  PeerDigest digest;
+  digest.prompts.crashes = {{7, {kShared, kCrashing}, 1000}, {8, {2}, 1700}};
+  digest.prompts.sound_at = {{kSubject, 1500}};
+  proto::RoutingDigest message;
+  encode_digest(digest, 2000, message);
+  const PromptReport decoded = decode_digest(message, 52000).prompts;
+  PromptReport expected = digest.prompts;
+  for (PromptCrash& crash : expected.crashes) crash.at += 50000;
+  expected.sound_at = {{kSubject, 51500}};
+  CHECK(decoded == expected);
+}
+
 TEST_CASE("reports do not change while nothing is learnt", "[prompts]") {
   PromptQuarantine quarantine;
   crash(quarantine, {kShared, kCrashing}, 3, 1000);
