--- a/src/libperidotreach/routing/prompt_quarantine.cc
+++ b/src/libperidotreach/routing/prompt_quarantine.cc
@@ -117,7 +117,8 @@
   }
   PromptPattern pattern;
   bool is_first = true;
-  for (const auto& [crash, parts] : parts_by_crash) {
+  for (const auto& crash : parts_by_crash) {
+    const std::set<std::uint64_t>& parts = crash.second;
     if (std::exchange(is_first, false)) {
       pattern.assign(parts.begin(), parts.end());
       continue;
@@ -232,7 +233,7 @@
 }  // namespace
 
 std::uint64_t crash_identity(const std::string& endpoint,
-                             std::int64_t started_at_ms) {
+                             std::uint64_t started_at_ms) {
   return rendezvous_weight(endpoint, std::to_string(started_at_ms));
 }
 
--- a/src/libperidotreach/routing/prompt_quarantine.h
+++ b/src/libperidotreach/routing/prompt_quarantine.h
@@ -82,7 +82,7 @@
 
 // Identifies the end of an engine's process.
 std::uint64_t crash_identity(const std::string& endpoint,
-                             std::int64_t started_at_ms);
+                             std::uint64_t started_at_ms);
 
 // Records that a generation on `parts` had just begun when its engine crashed.
 PatternChange record_prompt_crash(PromptQuarantine& quarantine,
