--- a/src/peridot-router/table_exchange.cc
+++ b/src/peridot-router/table_exchange.cc
@@ -138,6 +138,7 @@
     if (!decode_item(item, items)) return;
   }
   std::vector<ItemChange> changes;
+  changes.reserve(items.size());
   for (auto& [key, value] : items)
     changes.push_back({key, std::move(value), change.revision()});
   for (const std::string& key : change.removed())
