Let processes that nobody keeps up to date read the store themselves

Cause: a process of a large fleet took relays that answered for relays that know. If none of its zone's relays reached the store or another zone, or if relays were lost one pair after the other, it had no way to notice, although it reached the store itself. The class: an intermediary is watched for being alive, not for doing its work.

Processes that watch the tables confirm them every 500 ms by a renewal, and digests pass on the two newest confirmations. Who gets none that is 1.3 s old (2.1 s behind relays) reads the store, and so confirms the tables for others. Nothing depends on which process failed, or how. After an outage seen by all, a process makes a few calls more.

--- a/src/peridot-router/digest_codec.cc
+++ b/src/peridot-router/digest_codec.cc
@@ -132,6 +132,11 @@
   message.set_answer(static_cast<proto::RoutingDigest::Answer>(digest.answer));
   encode_report(digest.report, message);
   encode_prompts(digest.prompts, now, message);
+  for (const TableConfirmation& confirmation : digest.confirmations) {
+    proto::ConfirmationCell& cell = *message.add_confirmations();
+    cell.set_vm(confirmation.vm);
+    cell.set_age_ms(age_of(confirmation.at, now));
+  }
   for (const ZoneMember& peer : digest.known_peers)
     encode_member(peer, *message.add_peers());
   for (const ZoneList& list : digest.zones) {
@@ -155,6 +160,8 @@
   digest.answer = static_cast<DigestAnswer>(message.answer());
   digest.report = decode_report(message);
   digest.prompts = decode_prompts(message, now);
+  for (const proto::ConfirmationCell& cell : message.confirmations())
+    digest.confirmations.push_back({cell.vm(), now - cell.age_ms()});
   for (const proto::PeerCell& cell : message.peers())
     digest.known_peers.push_back(decode_member(cell));
   for (const proto::ZoneMembersCell& cell : message.zones()) {
--- a/src/peridot-router/peer_digest.h
+++ b/src/peridot-router/peer_digest.h
@@ -9,6 +9,7 @@
 #include "libperidotreach/routing/fleet_reports.h"
 #include "libperidotreach/routing/peer_view.h"
 #include "libperidotreach/routing/routing_event.h"
+#include "libperidotreach/routing/table_freshness.h"
 
 namespace peridotreach {
 
@@ -40,6 +41,7 @@
   // The figures; `peer` is not sent.
   PeerReportReceived report;
   PromptReport prompts;
+  std::vector<TableConfirmation> confirmations;
   // Live peers, for a process that does not know the fleet yet.
   std::vector<ZoneMember> known_peers;
   std::vector<ZoneList> zones;
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -84,17 +84,50 @@
   return coordination_.lease_coordinator(endpoint, now) == self().vm;
 }
 
+// Confirmations reach a process that relays serve with their heartbeats.
+Millis PeerExchange::max_confirmation_age() const {
+  const bool is_served = topology().uses_relays && !topology().is_relay;
+  return kMaxConfirmationAge + (is_served ? kHeartbeatInterval : 0);
+}
+
+void PeerExchange::record_store_call(bool succeeded, bool store_reachable,
+                                     Millis now) {
+  if (succeeded && !watches_tables(store_reachable, now)) return;
+  record_own_call(freshness_, succeeded, now);
+}
+
 bool PeerExchange::watches_tables(bool store_reachable, Millis now) const {
+  if (!is_confirmed_by_peers(freshness_, max_confirmation_age(), now))
+    return true;
   if (topology().uses_relays)
     return relay_watches_tables(topology(), view(), self().vm, store_reachable);
   return peridotreach::watches_tables(view(), self(), store_reachable, now);
 }
 
 bool PeerExchange::needs_store(Millis now) const {
+  if (needs_registration(now)) return true;
+  // At the start of a fleet, its relays get time to read the store.
+  const Millis confirmed_at = freshness_.by_peers.empty()
+                                  ? first_relay_answer_at_
+                                  : confirmed_by_peers_at(freshness_);
+  return now - confirmed_at > max_confirmation_age();
+}
+
+bool PeerExchange::needs_registration(Millis now) const {
   if (!topology().uses_relays || topology().is_relay) return true;
   return now - last_relay_answer_at_ > kRelaySilence + kHeartbeatInterval;
 }
 
+void PeerExchange::log_confirmation(Millis now) {
+  const bool confirmed =
+      is_confirmed_by_peers(freshness_, max_confirmation_age(), now);
+  if (confirmed == tables_confirmed_) return;
+  tables_confirmed_ = confirmed;
+  log(confirmed ? LogLevel::kInfo : LogLevel::kWarning,
+      confirmed ? "tables_confirmed" : "tables_unconfirmed",
+      {{"age_ms", std::to_string(now - confirmed_by_peers_at(freshness_))}});
+}
+
 void PeerExchange::tick(bool store_reachable,
                         const std::function<LocalDigest()>& make_digest,
                         Millis now) {
@@ -104,6 +137,7 @@
   for (const std::string& vm : silent)
     log(LogLevel::kWarning, "relay_unresponsive", {{"peer", vm}});
   if (link_.refresh_topology(now, !silent.empty())) change_role(now);
+  log_confirmation(now);
   tables_.publish_changes(store_reachable, now);
   tables_.request_missing(now);
   link_.close_idle_connections(now);
@@ -166,6 +200,7 @@
   digest.endpoints_revision = tables_.revision(kEndpointTable);
   digest.report = last_digest_.report;
   digest.prompts = last_digest_.prompts;
+  digest.confirmations = newest_confirmations(freshness_, self().vm);
   return digest;
 }
 
@@ -187,6 +222,7 @@
   link_.set_status(last_digest_.ready, last_digest_.stopping);
   const bool changed =
       !(earlier == last_digest_) ||
+      freshness_.own_at > last_own_confirmation_ ||
       tables_.revision(kManifestTable) != last_manifest_revision_ ||
       tables_.revision(kEndpointTable) != last_endpoints_revision_;
   if (!changed && elapsed < heartbeat_interval) return;
@@ -213,6 +249,7 @@
     for (const std::string& seed : seeds_) link_.send_to_address(seed, message);
   }
   last_digest_at_ = now;
+  last_own_confirmation_ = freshness_.own_at;
   last_manifest_revision_ = tables_.revision(kManifestTable);
   last_endpoints_revision_ = tables_.revision(kEndpointTable);
 }
@@ -426,6 +463,8 @@
   }
   if (is_new) handle_new_peer(digest, now);
   accept_zone_lists(digest, now);
+  for (const TableConfirmation& confirmation : digest.confirmations)
+    record_confirmation(freshness_, self().vm, confirmation);
   accept_report(digest, now);
   if (digest.prompts != PromptReport())
     handlers_.on_prompt_report({digest.self.vm, digest.prompts});
@@ -458,7 +497,10 @@
   reports_.by_name[*name] = {std::move(report), digest.scope, now};
   if (digest.scope != ReportScope::kFleet) return;
   last_relay_answer_at_ = now;
-  handlers_.on_store_status(digest.status.store_reachable);
+  if (first_relay_answer_at_ == 0) first_relay_answer_at_ = now;
+  handlers_.on_store_status(
+      digest.status.store_reachable ||
+      is_store_in_reach(freshness_, max_confirmation_age(), now));
 }
 
 void PeerExchange::announce_endpoint_leaving(const std::string& endpoint,
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -13,6 +13,7 @@
 
 #include "libperidotreach/routing/fleet_reports.h"
 #include "libperidotreach/routing/routing_event.h"
+#include "libperidotreach/routing/table_freshness.h"
 #include "peridot-router/coordination.h"
 #include "peridot-router/peer_digest.h"
 #include "peridot-router/peer_link.h"
@@ -72,10 +73,17 @@
   // store and forwards their changes to others.
   bool watches_tables(bool store_reachable, Millis now) const;
 
+  // Records whether a call of this process to the store has succeeded.
+  void record_store_call(bool succeeded, bool store_reachable, Millis now);
+
   // Returns whether this process has to use the store itself: in a large fleet
-  // relays do, and processes that no relay serves.
+  // relays do, and processes for which no peer has confirmed the tables.
   bool needs_store(Millis now) const;
 
+  // Returns whether this process has to be registered in the store: in a large
+  // fleet relays are, and processes that no relay answers.
+  bool needs_registration(Millis now) const;
+
   Coordination& coordination() { return coordination_; }
   TableExchange& tables() { return tables_; }
   PeerView& view() { return link_.view(); }
@@ -106,6 +114,8 @@
   void answer_digest(const PeerDigest& digest, Millis now);
   void send_digest(const std::string& vm, const PeerDigest& digest, Millis now);
 
+  Millis max_confirmation_age() const;
+  void log_confirmation(Millis now);
   PeerDigest own_digest() const;
   PeerDigest zone_digest(Millis now) const;
   PeerDigest fleet_digest(const PeerDigest& asked, Millis now) const;
@@ -126,6 +136,10 @@
   Millis last_introduction_at_ = 0;
   Millis last_probe_at_ = 0;
   std::string last_probed_;
+  TableFreshness freshness_;
+  bool tables_confirmed_ = false;
+  Millis first_relay_answer_at_ = 0;
+  Millis last_own_confirmation_ = 0;
   std::uint64_t last_manifest_revision_ = 0;
   std::uint64_t last_endpoints_revision_ = 0;
   PeerDigest last_zone_digest_;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -330,6 +330,8 @@
 }
 
 void RouterNode::set_store_reachable(bool is_reachable) {
+  peers_.record_store_call(is_reachable, state_.store_reachable,
+                           monotonic_now());
   post(StoreReachabilityChanged{is_reachable});
 }
 
@@ -354,6 +356,10 @@
   return peers_.needs_store(monotonic_now());
 }
 
+bool RouterNode::needs_registration() const {
+  return peers_.needs_registration(monotonic_now());
+}
+
 const SharedTableState& RouterNode::table(const std::string& name) {
   return tables_[name];
 }
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -78,8 +78,10 @@
   // store and forwards their changes to the others in its availability zone.
   bool watches_tables() const;
 
-  // Returns whether this process has to use the store itself.
+  // Returns whether this process has to use the store itself, and whether it
+  // has to be registered there.
   bool needs_store() const;
+  bool needs_registration() const;
 
   const SharedTableState& table(const std::string& name);
   PeerView& peers() { return peers_.view(); }
--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -234,18 +234,20 @@
   CHECK(make_report(peer, true, 3000).crashes.size() == 2);
 }
 
-TEST_CASE("a digest carries a report of prompts between different clocks",
-          "[prompts]") {
+TEST_CASE("a digest carries times between different clocks", "[prompts]") {
   PeerDigest digest;
   digest.prompts.crashes = {{7, {kShared, kCrashing}, 1000}, {8, {2}, 1700}};
   digest.prompts.sound_at = {{kSubject, 1500}};
+  digest.confirmations = {{"a", 1900}, {"b", 1200}};
   proto::RoutingDigest message;
   encode_digest(digest, 2000, message);
-  const PromptReport decoded = decode_digest(message, 52000).prompts;
+  const PeerDigest decoded = decode_digest(message, 52000);
   PromptReport expected = digest.prompts;
   for (PromptCrash& crash : expected.crashes) crash.at += 50000;
   expected.sound_at = {{kSubject, 51500}};
-  CHECK(decoded == expected);
+  CHECK(decoded.prompts == expected);
+  CHECK(decoded.confirmations ==
+        std::vector<TableConfirmation>{{"a", 51900}, {"b", 51200}});
 }
 
 TEST_CASE("reports do not change while nothing is learnt", "[prompts]") {
--- a/tests/system/manifest_detour_test.py
+++ b/tests/system/manifest_detour_test.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Routers whose relays cannot reach the store take a new manifest in time."""
+"""Routers take a new manifest in time whichever relays cannot reach the store."""
 
 import asyncio
 import json
@@ -21,6 +21,7 @@
 ROUTERS = 18
 ZONES = 3
 RELAYS_OF_FIRST_ZONE = (0, ZONES)
+ALL_RELAYS = tuple(range(2 * ZONES))
 START_S = 30
 ROUNDS = 6
 # Time within which a confirmed manifest is in force in fleets of this size.
@@ -84,18 +85,22 @@
         if await wait_for(routers, 1, START_S):
             return ["the first manifest was not taken"]
         await asyncio.sleep(4.0)
+        # Ends the watches that routers opened before relays served them.
+        for proxy in proxies:
+            proxy.reset_all()
+        await asyncio.sleep(1.0)
         for version in range(2, 2 + ROUNDS):
-            for index in RELAYS_OF_FIRST_ZONE:
+            cut_off = ALL_RELAYS if version % 2 else RELAYS_OF_FIRST_ZONE
+            for index in cut_off:
                 proxies[index].mode = "silent"
                 proxies[index].reset_all()
             await asyncio.sleep(0.13 * version)
             store.put("op/config", manifest(version))
-            connected = [r for r in routers
-                         if r.index not in RELAYS_OF_FIRST_ZONE]
+            connected = [r for r in routers if r.index not in cut_off]
             for router in await wait_for(connected, version, CONFIG_S):
                 faults.append(f"{router.name} has version "
                               f"{version_of(router)} instead of {version}")
-            for index in RELAYS_OF_FIRST_ZONE:
+            for index in cut_off:
                 proxies[index].mode = "pass"
                 proxies[index].reset_all()
             await wait_for(routers, version, START_S)
