Count crashes that happened before the boot of a VM there too

What callers could see: a part of a prompt that crashes engines is known to the fleet, and a router on a VM that has just booted sends prompts with it to engines all the same.

Cause: reports carry ages, and the clock of a process starts at the boot of its VM, so the time of an earlier crash is negative there. A part that was never seen to be sound had 0 for that time, which is later than the crash, and so cleared it. An absent time is now told from a time. The test failed before.

--- a/src/libperidotreach/routing/prompt_quarantine.cc
+++ b/src/libperidotreach/routing/prompt_quarantine.cc
@@ -180,10 +180,12 @@
 bool add_crash(PromptQuarantine& quarantine, PromptCrash observed) {
   std::erase_if(observed.parts, [&](std::uint64_t part) {
     const auto sound = quarantine.sound_at.find(part);
-    const Millis sound_at =
-        sound != quarantine.sound_at.end() ? sound->second : 0;
-    record_crashed_part(quarantine.crashed_parts[part], observed.at, sound_at);
-    return sound_at >= observed.at;
+    // Times before the boot of this VM are negative.
+    const bool is_sound = sound != quarantine.sound_at.end() &&
+                          sound->second >= observed.at;
+    record_crashed_part(quarantine.crashed_parts[part], observed.at,
+                        is_sound ? sound->second : 0);
+    return is_sound;
   });
   keep_newest(quarantine.crashed_parts, kMaxCrashedParts);
   if (observed.parts.empty()) return false;
@@ -206,7 +208,8 @@
 // Returns whether this removed the part from a crash.
 bool clear_part(PromptQuarantine& quarantine, std::uint64_t part,
                 Millis sound_at) {
-  Millis& known_at = quarantine.sound_at[part];
+  Millis& known_at =
+      quarantine.sound_at.try_emplace(part, sound_at).first->second;
   known_at = std::max(known_at, sound_at);
   const auto crashed = quarantine.crashed_parts.find(part);
   if (crashed != quarantine.crashed_parts.end())
--- a/src/libperidotreach/routing/table_freshness.cc
+++ b/src/libperidotreach/routing/table_freshness.cc
@@ -55,7 +55,8 @@
 bool is_store_in_reach(const TableFreshness& freshness, Millis max_age,
                        Millis now) {
   return is_confirmed_by_peers(freshness, max_age, now) ||
-         freshness.own_at > confirmed_by_peers_at(freshness);
+         (freshness.own_at != 0 &&
+          freshness.own_at > confirmed_by_peers_at(freshness));
 }
 
 }  // namespace peridotreach
--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -250,6 +250,20 @@
         std::vector<TableConfirmation>{{"a", 51900}, {"b", 51200}});
 }
 
+// The clock of a process starts at the boot of its VM.
+TEST_CASE("crashes before the boot of a VM count there", "[prompts]") {
+  PromptQuarantine witness;
+  record_sound_prompt(witness, {kShared}, 20'000);
+  crash(witness, {kShared, kCrashing}, 3, 30'000);
+  REQUIRE(is_quarantined(witness, {kShared, kCrashing}));
+  PromptReport report = make_report(witness, true, 40'000);
+  for (PromptCrash& reported : report.crashes) reported.at -= 39'500;
+  report.sound_at = {{kShared, 20'000 - 39'500}};
+  PromptQuarantine booted;
+  merge_report(booted, report, 500);
+  CHECK(is_quarantined(booted, {kShared, kCrashing}));
+}
+
 TEST_CASE("reports do not change while nothing is learnt", "[prompts]") {
   PromptQuarantine quarantine;
   crash(quarantine, {kShared, kCrashing}, 3, 1000);
