Keep the quarantine of prompts in the store

Cause: the quarantine was held by processes only, each with the others as its backup. What has to last longer than the fleet belongs in the store.

Ages are stored against the time of day, so an error of a clock makes a crash some seconds older or younger, and what has expired is not taken.

--- a/src/libperidotreach/routing/prompt_quarantine.cc
+++ b/src/libperidotreach/routing/prompt_quarantine.cc
@@ -181,8 +181,8 @@
   std::erase_if(observed.parts, [&](std::uint64_t part) {
     const auto sound = quarantine.sound_at.find(part);
     // Times before the boot of this VM are negative.
-    const bool is_sound = sound != quarantine.sound_at.end() &&
-                          sound->second >= observed.at;
+    const bool is_sound =
+        sound != quarantine.sound_at.end() && sound->second >= observed.at;
     record_crashed_part(quarantine.crashed_parts[part], observed.at,
                         is_sound ? sound->second : 0);
     return is_sound;
@@ -295,6 +295,17 @@
   return report;
 }
 
+std::vector<PromptCrash> pattern_evidence(const PromptQuarantine& quarantine) {
+  // The newest ones, if there are more than may be reported.
+  std::vector<PromptCrash> evidence;
+  for (auto crash = quarantine.crashes.rbegin();
+       crash != quarantine.crashes.rend(); ++crash) {
+    if (evidence.size() == kMaxReportedCrashes) break;
+    if (explains_pattern(quarantine, *crash)) evidence.push_back(*crash);
+  }
+  return evidence;
+}
+
 bool is_quarantined(const PromptQuarantine& quarantine,
                     const std::vector<std::uint64_t>& parts) {
   if (quarantine.patterns.empty()) return false;
--- a/src/libperidotreach/routing/prompt_quarantine.h
+++ b/src/libperidotreach/routing/prompt_quarantine.h
@@ -103,6 +103,10 @@
 PromptReport make_report(const PromptQuarantine& quarantine, bool as_relay,
                          Millis now);
 
+// Returns the crashes that explain the patterns in force. They are kept in the
+// store, so that a quarantine outlasts the loss of all processes.
+std::vector<PromptCrash> pattern_evidence(const PromptQuarantine& quarantine);
+
 // Returns whether a prompt with these parts is rejected.
 bool is_quarantined(const PromptQuarantine& quarantine,
                     const std::vector<std::uint64_t>& parts);
--- a/src/peridot-router/digest_codec.cc
+++ b/src/peridot-router/digest_codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fleet.pb.h"
+#include "peridot-router/prompt_crash_cell.h"
 
 namespace peridotreach {
 namespace {
@@ -93,12 +94,8 @@
 
 void encode_prompts(const PromptReport& prompts, Millis now,
                     proto::RoutingDigest& message) {
-  for (const PromptCrash& crash : prompts.crashes) {
-    proto::PromptCrashCell& cell = *message.add_prompt_crashes();
-    cell.set_crash(crash.crash);
-    for (const std::uint64_t part : crash.parts) cell.add_parts(part);
-    cell.set_age_ms(age_of(crash.at, now));
-  }
+  for (const PromptCrash& crash : prompts.crashes)
+    encode_crash(crash, now, *message.add_prompt_crashes());
   for (const auto& [part, at] : prompts.sound_at) {
     proto::SoundPartCell& cell = *message.add_sound_parts();
     cell.set_part(part);
@@ -108,11 +105,8 @@
 
 PromptReport decode_prompts(const proto::RoutingDigest& message, Millis now) {
   PromptReport prompts;
-  for (const proto::PromptCrashCell& cell : message.prompt_crashes()) {
-    prompts.crashes.push_back({cell.crash(),
-                               {cell.parts().begin(), cell.parts().end()},
-                               now - cell.age_ms()});
-  }
+  for (const proto::PromptCrashCell& cell : message.prompt_crashes())
+    prompts.crashes.push_back(decode_crash(cell, now));
   for (const proto::SoundPartCell& cell : message.sound_parts())
     prompts.sound_at[cell.part()] = now - cell.age_ms();
   return prompts;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -6,6 +6,7 @@
 
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "peridot-router/caller_session.h"
+#include "peridot-router/quarantine_codec.h"
 #include "runtime/clock.h"
 #include "runtime/http_server.h"
 #include "runtime/log.h"
@@ -360,6 +361,22 @@
   return peers_.needs_registration(monotonic_now());
 }
 
+std::string RouterNode::encoded_quarantine() const {
+  return encode_quarantine(pattern_evidence(state_.prompt_quarantine),
+                           {monotonic_now(), wall_now_ms()});
+}
+
+void RouterNode::restore_quarantine(const std::string& stored) {
+  const Result<PromptReport> report =
+      decode_quarantine(stored, {monotonic_now(), wall_now_ms()});
+  if (!ok(report)) {
+    log(LogLevel::kError, "quarantine_unreadable",
+        {{"cause", describe(error(report))}});
+    return;
+  }
+  post(PromptReportReceived{"store", value(report)});
+}
+
 const SharedTableState& RouterNode::table(const std::string& name) {
   return tables_[name];
 }
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -83,6 +83,16 @@
   bool needs_store() const;
   bool needs_registration() const;
 
+  // The prompts that are quarantined, and the crashes that explain them in the
+  // form in which the store keeps them.
+  const std::vector<PromptPattern>& quarantined_prompts() const {
+    return state_.prompt_quarantine.patterns;
+  }
+  std::string encoded_quarantine() const;
+
+  // Applies what the store has kept of the quarantine of prompts.
+  void restore_quarantine(const std::string& stored);
+
   const SharedTableState& table(const std::string& name);
   PeerView& peers() { return peers_.view(); }
   const PeerRecord& self() const { return peers_.self(); }
--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -10,6 +10,7 @@
 #include "libperidotreach/quarantine.h"
 #include "peridot-router/digest_codec.h"
 #include "peridot-router/peer_digest.h"
+#include "peridot-router/quarantine_codec.h"
 #include "tests/routing/router_harness.h"
 
 namespace peridotreach {
@@ -264,6 +265,33 @@
   CHECK(is_quarantined(booted, {kShared, kCrashing}));
 }
 
+TEST_CASE("a quarantine that the store keeps outlasts all processes",
+          "[prompts]") {
+  PromptQuarantine lost;
+  crash(lost, {kShared, kCrashing}, 3, 30'000);
+  crash(lost, {kSubject}, 1, 31'000);
+  record_sound_prompt(lost, {kShared}, 35'000);
+  const std::string stored =
+      encode_quarantine(pattern_evidence(lost), {36'000, 1'700'000'000'000});
+  const auto started = decode_quarantine(stored, {400, 1'700'000'020'000});
+  REQUIRE(ok(started));
+  CHECK(value(started).crashes.size() == 3);
+  PromptQuarantine quarantine;
+  merge_report(quarantine, value(started), 400);
+  CHECK(quarantine.patterns == lost.patterns);
+  CHECK_FALSE(is_quarantined(quarantine, {kShared, kSubject}));
+  const auto much_later =
+      decode_quarantine(stored, {400, 1'700'000'000'000 + 11 * kMinute});
+  REQUIRE(ok(much_later));
+  PromptQuarantine expired;
+  merge_report(expired, value(much_later), 400);
+  CHECK(expired.patterns.empty());
+}
+
+TEST_CASE("a stored quarantine that cannot be read is an error", "[prompts]") {
+  CHECK_FALSE(ok(decode_quarantine("\xff\xff", {1000, 1000})));
+}
+
 TEST_CASE("reports do not change while nothing is learnt", "[prompts]") {
   PromptQuarantine quarantine;
   crash(quarantine, {kShared, kCrashing}, 3, 1000);
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -107,13 +107,14 @@
             for put in body["puts"]:
                 if put["key"].startswith(("op/", "servers/")):
                     return 403, {}
-                if put.get("lease", 0) not in self.leases:
+                lease = put.get("lease", 0)
+                if lease != 0 and lease not in self.leases:
                     return 404, {}
                 value = base64.b64decode(put["value"])
                 for listens, listed in self.renamed.items():
                     value = value.replace(f'"{listens}"'.encode(),
                                           f'"{listed}"'.encode())
-                self.put(put["key"], value, put["lease"])
+                self.put(put["key"], value, lease)
             return 200, {"rev": self.revision}
         return 404, {}
 
--- a/tests/system/prompt_crash_test.py
+++ b/tests/system/prompt_crash_test.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Engines crash on one part of a prompt. Routers that use relays stop sending
-prompts with it to engines and go on serving prompts with the other parts."""
+prompts with it to engines and go on serving prompts with the other parts, also
+after all routers were lost at once."""
 
 import asyncio
 import json
@@ -202,6 +203,28 @@
     return faults
 
 
+async def play_after_loss(fleet, routers):
+    """Kills and starts all routers, then sends requests with the crashing part.
+    Returns what went wrong."""
+    for router in routers:
+        router.process.kill()
+    for router in routers:
+        await router.ended()
+        await router.start()
+    if not await wait_until_ready(routers):
+        return ["the routers did not become ready again"]
+    before = len(fleet.crashes)
+    results = []
+    await asyncio.gather(*[
+        send(router, 100000 + router.index, CRASHING_PARTS, results)
+        for router in routers])
+    crashes = len(fleet.crashes) - before
+    print(f"{crashes} crashes after the loss of all routers")
+    if crashes:
+        return [f"{crashes} engines crashed after the loss of all routers"]
+    return []
+
+
 async def run(folder):
     """Returns what went wrong."""
     store = Store()
@@ -222,7 +245,8 @@
         if not await wait_until_ready(routers):
             return ["the routers did not become ready"]
         await asyncio.sleep(2.0)
-        return await play(fleet, routers)
+        faults = await play(fleet, routers)
+        return faults + await play_after_loss(fleet, routers)
     finally:
         for router in routers:
             router.process.kill()
