--- a/src/libperidotreach/routing/table_freshness.cc
+++ b/src/libperidotreach/routing/table_freshness.cc
@@ -52,6 +52,14 @@
   return confirmed_at != 0 && now - confirmed_at <= max_age;
 }
 
+bool has_to_read_store(const TableFreshness& freshness, Millis max_age,
+                       Millis now) {
+  const Millis up_to_date_at = freshness.by_peers.empty()
+                                   ? freshness.first_served_at
+                                   : confirmed_by_peers_at(freshness);
+  return up_to_date_at == 0 || now - up_to_date_at > max_age;
+}
+
 bool is_store_in_reach(const TableFreshness& freshness, Millis max_age,
                        Millis now) {
   return is_confirmed_by_peers(freshness, max_age, now) ||
--- a/src/libperidotreach/routing/table_freshness.h
+++ b/src/libperidotreach/routing/table_freshness.h
@@ -36,6 +36,8 @@
   Millis own_at = 0;
   // Those by different other processes, the newest one in front.
   std::vector<TableConfirmation> by_peers;
+  // When a relay first answered this process; 0 if none did.
+  Millis first_served_at = 0;
 
   bool operator==(const TableFreshness&) const = default;
 };
@@ -58,6 +60,11 @@
 bool is_confirmed_by_peers(const TableFreshness& freshness, Millis max_age,
                            Millis now);
 
+// Returns whether a process that relays serve has to read the store itself. At
+// the start of a fleet, the relays get time to read it.
+bool has_to_read_store(const TableFreshness& freshness, Millis max_age,
+                       Millis now);
+
 // Returns whether this process or a peer is known to reach the store.
 bool is_store_in_reach(const TableFreshness& freshness, Millis max_age,
                        Millis now);
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -105,12 +105,8 @@
 }
 
 bool PeerExchange::needs_store(Millis now) const {
-  if (needs_registration(now)) return true;
-  // At the start of a fleet, its relays get time to read the store.
-  const Millis confirmed_at = freshness_.by_peers.empty()
-                                  ? first_relay_answer_at_
-                                  : confirmed_by_peers_at(freshness_);
-  return now - confirmed_at > max_confirmation_age();
+  return needs_registration(now) ||
+         has_to_read_store(freshness_, max_confirmation_age(), now);
 }
 
 bool PeerExchange::needs_registration(Millis now) const {
@@ -497,7 +493,7 @@
   reports_.by_name[*name] = {std::move(report), digest.scope, now};
   if (digest.scope != ReportScope::kFleet) return;
   last_relay_answer_at_ = now;
-  if (first_relay_answer_at_ == 0) first_relay_answer_at_ = now;
+  if (freshness_.first_served_at == 0) freshness_.first_served_at = now;
   handlers_.on_store_status(
       digest.status.store_reachable ||
       is_store_in_reach(freshness_, max_confirmation_age(), now));
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -138,7 +138,6 @@
   std::string last_probed_;
   TableFreshness freshness_;
   bool tables_confirmed_ = false;
-  Millis first_relay_answer_at_ = 0;
   Millis last_own_confirmation_ = 0;
   std::uint64_t last_manifest_revision_ = 0;
   std::uint64_t last_endpoints_revision_ = 0;
--- a/tests/routing/table_freshness_test.cc
+++ b/tests/routing/table_freshness_test.cc
@@ -33,6 +33,20 @@
   CHECK(confirmed_by_peers_at(freshness) == kStart);
 }
 
+TEST_CASE("relays of a fleet that starts get time to read the store",
+          "[freshness]") {
+  TableFreshness freshness;
+  CHECK(has_to_read_store(freshness, kMaxConfirmationAge, kStart));
+  freshness.first_served_at = kStart;
+  CHECK_FALSE(has_to_read_store(freshness, kMaxConfirmationAge,
+                                kStart + kMaxConfirmationAge));
+  CHECK(has_to_read_store(freshness, kMaxConfirmationAge,
+                          kStart + kMaxConfirmationAge + 1));
+  // What the relays know may be old already.
+  record_confirmation(freshness, "a", {"b", kStart - kMaxConfirmationAge});
+  CHECK(has_to_read_store(freshness, kMaxConfirmationAge, kStart + 1));
+}
+
 TEST_CASE("a process does not rely on its own confirmation that returns",
           "[freshness]") {
   TableFreshness own;
