Cut off the relays of one zone as often as before in the detour test

Since the test has cut off all relays in every other round, so that the relays of the first zone alone were cut off in three rounds instead of six. Twelve rounds restore that.

--- a/tests/system/manifest_detour_test.py
+++ b/tests/system/manifest_detour_test.py
@@ -23,7 +23,7 @@
 RELAYS_OF_FIRST_ZONE = (0, ZONES)
 ALL_RELAYS = tuple(range(2 * ZONES))
 START_S = 30
-ROUNDS = 6
+ROUNDS = 12
 # Time within which a confirmed manifest is in force in fleets of this size.
 CONFIG_S = 3.0
 
