--- a/src/libperidotreach/routing/table_freshness.h
+++ b/src/libperidotreach/routing/table_freshness.h
@@ -19,7 +19,7 @@
 inline constexpr Millis kMaxConfirmationAge = 1300;
 
 // Number of confirmations that a process keeps and reports. With two, by
-// different processes, one of them is always news to the receiver.
+// different processes, at least one is not the receiver's own.
 inline constexpr std::size_t kReportedConfirmations = 2;
 
 // A successful call to the store by a process that watches the tables.
