Log the request rates that endpoints name

Cause: the logs could not tell whether a VM knows an endpoint's limit. Change: decode it from response heads, keep it with the endpoint and log each change with its source and age. Nothing decides by it yet.

--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -4,6 +4,7 @@
 // and never reused. Attempts of a request are numbered from 1.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -99,6 +100,21 @@
   kBroken,
 };
 
+// What an endpoint says of itself in the head of a response.
+struct EndpointNotice {
+  // Requests per second that it takes from all processes together; none if it
+  // names no limit.
+  std::optional<double> requests_per_second;
+
+  bool operator==(const EndpointNotice&) const = default;
+};
+
+// An endpoint has answered a request.
+struct EndpointAnswered {
+  std::string endpoint;
+  EndpointNotice notice;
+};
+
 struct AttemptEnded {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;
@@ -260,7 +276,7 @@
   Millis at = 0;
   std::uint64_t random = 0;
   std::variant<ManifestReceived, EndpointListed, EndpointUnlisted,
-               EndpointLeaving, StoreReachabilityChanged, RetryLimitsChanged,
+               EndpointLeaving, EndpointAnswered, StoreReachabilityChanged, RetryLimitsChanged,
                RequestArrived, CallerDisconnected, AttemptEnded, StreamOpened,
                StreamEventReceived, CopyFinished, CopyLeaseGranted,
                CopyLeaseQueued, PlacementRequested, PlacementAnswered,
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -106,6 +106,19 @@
   }
 }
 
+// Records a limit that `source`, this process or a peer, observed.
+void observe_limit(const RoutingContext& context, EndpointState& endpoint,
+                   const EndpointLimit& observed, const std::string& source) {
+  if (!update_limit(endpoint.limit, observed)) return;
+  const std::optional<double>& rate = observed.requests_per_second;
+  record_decision(
+      context, "endpoint_limit_changed", 0,
+      {{"endpoint", endpoint.entry.id},
+       {"requests_per_second", rate ? std::to_string(*rate) : "none"},
+       {"source", source},
+       {"age_ms", std::to_string(context.state.now - observed.observed_at)}});
+}
+
 void apply(const RoutingContext& context, const EndpointLeaving& event) {
   EndpointState* endpoint = find_endpoint(context, event.id);
   if (endpoint == nullptr) return;
@@ -113,6 +126,14 @@
   plan_moves(context);
 }
 
+void apply(const RoutingContext& context, const EndpointAnswered& event) {
+  EndpointState* endpoint = find_endpoint(context, event.endpoint);
+  if (endpoint == nullptr) return;
+  observe_limit(context, *endpoint,
+                {event.notice.requests_per_second, context.state.now},
+                context.state.config.vm);
+}
+
 void apply(const RoutingContext& context,
            const StoreReachabilityChanged& event) {
   RoutingState& state = context.state;
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -11,6 +11,7 @@
 
 #include "libperidotreach/length_model.h"
 #include "libperidotreach/quarantine.h"
+#include "libperidotreach/routing/endpoint_limit.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/placement_queue.h"
 #include "libperidotreach/routing/prompt_quarantine.h"
@@ -48,6 +49,7 @@
   Millis transport_failures_updated_at = 0;
   std::uint32_t consecutive_connect_failures = 0;
   Millis ejected_until = 0;
+  EndpointLimit limit;
   // Usage by this process and by all peers.
   EndpointUsage own_usage;
   EndpointUsage peer_usage;
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -114,6 +114,10 @@
   const ResponseInfo info = format.decode_response_head(headers);
   const AttemptOutcome head_outcome =
       check_response_head(info, exchange.id(), status);
+  const bool is_from_endpoint =
+      head_outcome == AttemptOutcome::kCompleteResponse ||
+      head_outcome == AttemptOutcome::kNotRun;
+  if (is_from_endpoint) post(EndpointAnswered{params.endpoint, info.notice});
   if (head_outcome != AttemptOutcome::kCompleteResponse)
     co_return make_ended(attempt, head_outcome, status);
   attempt.response.status = status;
--- a/src/peridot-router/wire_format.h
+++ b/src/peridot-router/wire_format.h
@@ -36,6 +36,7 @@
   // not come from the endpoint.
   bool has_content_encoding = false;
   bool is_event_stream = false;
+  EndpointNotice notice;
 };
 
 // An endpoint's response to a request to copy the KV cache of a generation.
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -294,6 +294,20 @@
             .has_content_encoding);
 }
 
+TEST_CASE("decode_response_head reads the limit that an endpoint names",
+          "[platform]") {
+  const auto limit_of = [](const std::string& text) {
+    return make_wire_format()
+        .decode_response_head({{"server-limit", text}})
+        .notice.requests_per_second;
+  };
+  CHECK(limit_of("2.6") == 2.6);
+  CHECK(limit_of("0") == 0.0);
+  CHECK(limit_of("40") == 40.0);
+  for (const char* invalid : {"", "-1", "nan", "inf", "2,6", "3 a", "1e999"})
+    CHECK_FALSE(limit_of(invalid).has_value());
+}
+
 TEST_CASE("local_response_headers include the request id and Retry-After",
           "[platform]") {
   const auto headers =
