Share the limits that endpoints name among all VMs

The class: a bound of the whole fleet that no process knows or shares.

Change: digests report limits with the age of the observation. One process coordinates the permits of an endpoint and hands them out at its rate; the others request one when they have a request to send. Permits lapse 500 ms after their request and late answers are ignored, so lost, paused and cut-off processes cost nothing; a part of a split fleet that is no majority hands out its share only. State is one bucket an endpoint, whatever the number of VMs. Calls wait for a permit for a quarter of their objective at the most.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -133,6 +133,24 @@
   return true;
 }
 
+// Returns whether a request may be sent to the endpoint now as far as its limit
+// is concerned, or a permit for it may be requested.
+bool is_within_limit(const EndpointState& endpoint,
+                     const EndpointCriteria& criteria, Millis now) {
+  if (!endpoint.limit.requests_per_second) return true;
+  if (has_permit(endpoint.permits, now)) return true;
+  return !criteria.needs_permit_now && endpoint.permits.denied_until <= now;
+}
+
+// Returns whether the endpoint serves the criteria's service and accepts new
+// requests, whatever its load and limit.
+bool is_candidate(const EndpointState& endpoint,
+                  const EndpointCriteria& criteria, Millis now) {
+  return endpoint.entry.service == criteria.service &&
+         !criteria.excluded_endpoints.contains(endpoint.entry.id) &&
+         accepts_new_requests(endpoint, now) && is_in_scope(endpoint, criteria);
+}
+
 // Returns a number from 0 to 1 that depends on the endpoint and `draw`.
 double random_fraction(const std::string& id, std::uint64_t draw) {
   const std::uint64_t mixed =
@@ -153,10 +171,8 @@
   std::string best;
   double lowest_cost = 0;
   for (const auto& [id, endpoint] : state.endpoints) {
-    if (endpoint.entry.service != criteria.service) continue;
-    if (criteria.excluded_endpoints.contains(id)) continue;
-    if (!accepts_new_requests(endpoint, state.now)) continue;
-    if (!is_in_scope(endpoint, criteria)) continue;
+    if (!is_candidate(endpoint, criteria, state.now)) continue;
+    if (!is_within_limit(endpoint, criteria, state.now)) continue;
     const EndpointUsage reserved = reserved_usage(state, id);
     const bool in_other_zone =
         !criteria.zone.empty() && endpoint.entry.zone != criteria.zone;
@@ -185,6 +201,18 @@
   return best;
 }
 
+std::optional<Millis> next_permit_at(const RoutingState& state,
+                                     const EndpointCriteria& criteria) {
+  std::optional<Millis> earliest;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    if (!endpoint.limit.requests_per_second) continue;
+    if (!is_candidate(endpoint, criteria, state.now)) continue;
+    const Millis at = std::max(state.now, endpoint.permits.denied_until);
+    if (!earliest || at < *earliest) earliest = at;
+  }
+  return earliest;
+}
+
 double failure_rate_at(const EndpointState& endpoint, Millis now) {
   const auto age = static_cast<double>(
       std::max<Millis>(0, now - endpoint.failure_rate_updated_at));
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -52,6 +53,9 @@
   // that an engine has to prefill with it.
   std::uint64_t prefill_tokens = 0;
   std::uint64_t max_prefill_tokens = kUnlimitedPrefillTokens;
+  // Limited endpoints for which no permit is at hand are left out, even if one
+  // may be obtained.
+  bool needs_permit_now = false;
 };
 
 // Returns the id of the endpoint with the lowest cost, empty if none accepts
@@ -59,6 +63,11 @@
 std::string choose_endpoint(const RoutingState& state,
                             const EndpointCriteria& criteria);
 
+// Returns when a permit may next be obtained for an endpoint that meets the
+// criteria but for its limit; none if there is no such endpoint.
+std::optional<Millis> next_permit_at(const RoutingState& state,
+                                     const EndpointCriteria& criteria);
+
 // Returns whether the endpoint is listed, not leaving and not ejected.
 bool accepts_new_requests(const EndpointState& endpoint, Millis now);
 
--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -186,7 +186,6 @@
   const bool is_usable =
       endpoint != nullptr && accepts_new_requests(*endpoint, context.state.now);
   if (!is_usable) return;
-  request->placement_deadline = 0;
   start_attempt(context, event.request, *request, event.endpoint, {});
 }
 
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -238,6 +238,7 @@
   if (find_endpoint(context, source) == nullptr) return false;
   record_decision(context, "move_undone", request_number,
                   {{"from", request.endpoint}, {"to", source}});
+  overdraw_permits(context, source);
   start_attempt(context, request_number, request, source,
                 request.previous_kv_cache);
   return true;
@@ -280,7 +281,8 @@
   const PlacementRequested move{state.config.vm, request_number,
                                 move_requirements(state, request)};
   const std::string target =
-      choose_endpoint(state, endpoint_criteria(state, move.requirements));
+      choose_with_permit(context, endpoint_criteria(state, move.requirements))
+          .endpoint;
   if (!target.empty() && !charge_move(context, move, process_count(state))) {
     record_decision(
         context, "move_withheld", request_number,
--- a/src/libperidotreach/routing/peer_view.cc
+++ b/src/libperidotreach/routing/peer_view.cc
@@ -127,6 +127,18 @@
                      });
 }
 
+double live_share(const PeerView& view, Millis now) {
+  std::size_t known = 1;
+  std::size_t live = 1;
+  for (const auto& [vm, peer] : view.peers) {
+    const bool alive = is_alive(peer, now);
+    if (!alive && peer.stopping) continue;
+    known += 1;
+    if (alive) live += 1;
+  }
+  return static_cast<double>(live) / static_cast<double>(known);
+}
+
 std::vector<std::string> remove_expired_peers(PeerView& view, Millis now) {
   std::vector<std::string> expired;
   for (const auto& [vm, peer] : view.peers) {
--- a/src/libperidotreach/routing/peer_view.h
+++ b/src/libperidotreach/routing/peer_view.h
@@ -146,6 +146,11 @@
 // Returns whether a live peer has lost the store after `since`.
 bool peer_lost_store(const PeerView& view, Millis since, Millis now);
 
+// Returns the share of the known processes, from 0 to 1, with which this
+// process is in contact, including itself. Those that stopped as planned are
+// left out.
+double live_share(const PeerView& view, Millis now);
+
 // Removes peers that are neither listed nor heard from. Returns their VMs.
 std::vector<std::string> remove_expired_peers(PeerView& view, Millis now);
 
--- a/src/libperidotreach/routing/placement_coordinator.cc
+++ b/src/libperidotreach/routing/placement_coordinator.cc
@@ -122,7 +122,8 @@
                 const PlacementRequested& event) {
   RoutingState& state = context.state;
   std::string endpoint =
-      choose_endpoint(state, endpoint_criteria(state, event.requirements));
+      choose_with_permit(context, endpoint_criteria(state, event.requirements))
+          .endpoint;
   update_blocked_moves(state, event, !endpoint.empty());
   if (!endpoint.empty() &&
       !charge_move(context, event, coordinator_count(state))) {
@@ -161,17 +162,20 @@
 
 // Returns an engine of this process's own cell for a new request, empty if none
 // has capacity.
-std::string choose_engine_in_cell(const RoutingState& state,
-                                  const PlacementRequirements& requirements,
-                                  bool may_queue_prompts) {
+PermittedChoice choose_engine_in_cell(const RoutingContext& context,
+                                      const PlacementRequirements& requirements,
+                                      bool may_queue_prompts,
+                                      const std::string& awaited_permit) {
+  const RoutingState& state = context.state;
   EndpointCriteria criteria = endpoint_criteria(state, requirements);
-  if (is_one_cell(state)) return choose_endpoint(state, criteria);
+  if (is_one_cell(state))
+    return choose_with_permit(context, criteria, awaited_permit);
   criteria.zone = state.config.zone;
   criteria.scope = ZoneScope::kPreferred;
   if (is_prioritized(requirements) && !may_queue_prompts)
     criteria.max_prefill_tokens =
         prefill_tokens_within(state, kObjectiveSharePrioritized);
-  return choose_endpoint(state, criteria);
+  return choose_with_permit(context, criteria, awaited_permit);
 }
 
 // Returns the availability zone whose cell seems to have capacity for a
@@ -209,7 +213,7 @@
 void place_forwarded(const RoutingContext& context,
                      const PlacementRequested& event) {
   const std::string endpoint =
-      choose_engine_in_cell(context.state, event.requirements, false);
+      choose_engine_in_cell(context, event.requirements, false, "").endpoint;
   if (endpoint.empty()) return;
   grant_placement(context, event.peer, event.request, endpoint,
                   event.requirements, event.forwarded_by);
@@ -237,8 +241,11 @@
       state.now - waiting.forwarded_at < kForwardInterval;
   if (yields_to_move || awaits_other_cell) return "";
   if (!cannot_be_placed(pass.not_placed, requirements)) {
-    std::string engine = choose_engine_in_cell(state, requirements, false);
-    if (!engine.empty()) return engine;
+    const PermittedChoice choice = choose_engine_in_cell(
+        context, requirements, false, waiting.awaited_permit);
+    waiting.awaited_permit = choice.awaited_permit;
+    if (!choice.endpoint.empty() || !choice.awaited_permit.empty())
+      return choice.endpoint;
   }
   pass.not_placed.push_back(requirements);
   if (pass.forwarded < kMaxForwardsAtOnce &&
@@ -249,7 +256,7 @@
   // No other cell has capacity either. A prioritized request is placed behind
   // other prompts.
   return is_prioritized(requirements)
-             ? choose_engine_in_cell(state, requirements, true)
+             ? choose_engine_in_cell(context, requirements, true, "").endpoint
              : "";
 }
 
--- a/src/libperidotreach/routing/placement_queue.h
+++ b/src/libperidotreach/routing/placement_queue.h
@@ -29,6 +29,8 @@
   Millis refreshed_at = 0;
   // When it was last passed on to another cell; 0 if it was not.
   Millis forwarded_at = 0;
+  // The endpoint for which a permit was requested; empty if none was.
+  std::string awaited_permit;
 
   bool operator==(const WaitingPlacement&) const = default;
 };
--- a/src/libperidotreach/routing/report_totals.cc
+++ b/src/libperidotreach/routing/report_totals.cc
@@ -23,6 +23,8 @@
     sum.generations += output.generations;
     sum.tokens += output.tokens;
   }
+  for (const ObservedLimit& observed : report.limits)
+    update_limit(totals.limits_by_endpoint[observed.endpoint], observed.limit);
   for (const auto& [fingerprint, crashes] : report.suspects)
     totals.crashes[fingerprint] += crashes;
   totals.processes += report.processes;
@@ -44,6 +46,8 @@
     report.retry_counts.push_back(counts);
   for (const auto& [route, output] : totals.outputs_by_route)
     report.finished_outputs.push_back(output);
+  for (const auto& [endpoint, limit] : totals.limits_by_endpoint)
+    report.limits.push_back({endpoint, limit});
   for (const auto& [fingerprint, crashes] : totals.crashes) {
     if (crashes >= min_crashes)
       report.suspects.emplace_back(fingerprint, crashes);
--- a/src/libperidotreach/routing/report_totals.h
+++ b/src/libperidotreach/routing/report_totals.h
@@ -16,6 +16,8 @@
   std::map<std::string, EndpointUsage> usage_by_endpoint;
   std::map<std::string, ServiceRetryCounts> retries_by_service;
   std::map<std::string, FinishedOutput> outputs_by_route;
+  // The newest observation of each endpoint's limit.
+  std::map<std::string, EndpointLimit> limits_by_endpoint;
   // Crashes by fingerprint of the request.
   std::map<std::uint64_t, std::uint32_t> crashes;
   std::uint32_t processes = 0;
--- /dev/null
+++ b/src/libperidotreach/routing/request_permits.cc
@@ -0,0 +1,108 @@
+#include "libperidotreach/routing/request_permits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotreach {
+namespace {
+
+// A bucket collects the permits of this time, or a few if that is more, so that
+// the permits of slow buckets are not lost in a short pause of demand.
+constexpr Millis kBucketPeriod = 500;
+constexpr double kMinBucketCapacity = 3;
+
+// Rate for endpoints that take no requests. A request now and then shows when
+// the limit ends.
+constexpr double kMinPermitsPerSecond = 0.2;
+
+// Share of the fleet from which a coordinator hands out the full rate. At most
+// one part of a split fleet is larger.
+constexpr double kMajority = 0.5;
+
+// Time without permits after a request that was not answered. By then, another
+// process may coordinate the endpoint.
+constexpr Millis kRetryAfterTimeout = 300;
+
+}  // namespace
+
+double permitted_rate(double requests_per_second, double live_share) {
+  const double part = live_share > kMajority ? 1.0 : live_share;
+  return std::max(requests_per_second, kMinPermitsPerSecond) * part;
+}
+
+PermitGrant take_from_bucket(PermitBucket& bucket, double permits_per_second,
+                             std::uint32_t wanted, Millis now) {
+  const double per_ms = permits_per_second / kSecond;
+  if (bucket.refilled_at != 0) {
+    const auto elapsed = static_cast<double>(now - bucket.refilled_at);
+    const double capacity =
+        std::max(kMinBucketCapacity, per_ms * kBucketPeriod);
+    bucket.permits = std::min(capacity, bucket.permits + per_ms * elapsed);
+  }
+  bucket.refilled_at = now;
+  PermitGrant grant;
+  grant.permits =
+      std::min(wanted, static_cast<std::uint32_t>(std::floor(bucket.permits)));
+  bucket.permits -= grant.permits;
+  if (grant.permits > 0 || wanted == 0) return grant;
+  const auto next_permit_at =
+      now + static_cast<Millis>(std::ceil((1.0 - bucket.permits) / per_ms));
+  const auto next_slot_at =
+      bucket.last_slot_at + static_cast<Millis>(std::ceil(1.0 / per_ms));
+  bucket.last_slot_at =
+      std::min(std::max(next_permit_at, next_slot_at), now + kMaxPermitWait);
+  grant.retry_after = bucket.last_slot_at - now;
+  return grant;
+}
+
+bool has_permit(const EndpointPermits& permits, Millis now) {
+  return !permits.lapse_at.empty() && permits.lapse_at.back() > now;
+}
+
+bool use_permit(EndpointPermits& permits, Millis now) {
+  while (!permits.lapse_at.empty() && permits.lapse_at.front() <= now)
+    permits.lapse_at.pop_front();
+  if (!permits.lapse_at.empty()) {
+    permits.lapse_at.pop_front();
+    return true;
+  }
+  // Requests that wait while an answer is awaited are counted after it.
+  if (permits.requested_at == 0) permits.wanted += 1;
+  return false;
+}
+
+std::optional<std::uint32_t> take_due_permit_request(EndpointPermits& permits,
+                                                     Millis now) {
+  const bool is_due = permits.wanted > 0 && permits.requested_at == 0 &&
+                      permits.denied_until <= now;
+  if (!is_due) return std::nullopt;
+  const std::uint32_t count =
+      std::min(permits.wanted + permits.overdrawn, kMaxPermitsAtOnce);
+  permits.wanted = 0;
+  permits.requested_at = now;
+  return count;
+}
+
+bool add_permits(EndpointPermits& permits, const PermitGrant& grant,
+                 Millis requested_at, Millis now) {
+  if (permits.requested_at == 0 || permits.requested_at != requested_at)
+    return false;
+  permits.requested_at = 0;
+  const std::uint32_t repaid = std::min(permits.overdrawn, grant.permits);
+  permits.overdrawn -= repaid;
+  for (std::uint32_t i = repaid; i < grant.permits; ++i)
+    permits.lapse_at.push_back(requested_at + kPermitLifetime);
+  if (grant.permits == 0) permits.denied_until = now + grant.retry_after;
+  return true;
+}
+
+bool expire_permit_request(EndpointPermits& permits, Millis now) {
+  const bool has_expired =
+      permits.requested_at != 0 && now - permits.requested_at > kPermitTimeout;
+  if (!has_expired) return false;
+  permits.requested_at = 0;
+  permits.denied_until = now + kRetryAfterTimeout;
+  return true;
+}
+
+}  // namespace peridotreach
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -31,6 +31,11 @@
 // Remaining time below which another attempt is not worth sending.
 constexpr Millis kMinTimeLeft = 30;
 
+// Part of its first-byte objective for which a request waits for a permit of a
+// limited endpoint, and the time that the coordinator gets to answer.
+constexpr Millis kPermitWaitDivisor = 4;
+constexpr Millis kMinPermitWait = 50;
+
 // Endpoints accept urgencies from 0 to 9.
 constexpr std::uint32_t kLowestUrgency = 9;
 
@@ -74,6 +79,41 @@
   return request.deadline - state.now < kMinTimeLeft;
 }
 
+// Returns whether the request waits for a permit of a limited endpoint: until
+// the coordinator has answered, or for a permit that is due within a fraction
+// of the request's objective.
+bool wait_for_permit(const RoutingContext& context, RequestState& request,
+                     const EndpointCriteria& criteria) {
+  const Millis now = context.state.now;
+  if (request.permit_deadline == 0) {
+    request.permit_deadline =
+        now + std::max(kMinPermitWait,
+                       request.route.first_byte_slo / kPermitWaitDivisor);
+  }
+  if (request.permit_deadline <= now) return false;
+  if (!request.awaited_permit.empty()) return true;
+  const std::optional<Millis> permit_at =
+      next_permit_at(context.state, criteria);
+  return permit_at && *permit_at < request.permit_deadline;
+}
+
+// Rejects a request for which there is no endpoint. If endpoints are limited,
+// its caller is told to come back when the next request may be sent to one.
+void reject_unplaced(const RoutingContext& context,
+                     std::uint64_t request_number,
+                     const EndpointCriteria& criteria) {
+  const RoutingState& state = context.state;
+  const std::optional<Millis> permit_at = next_permit_at(state, criteria);
+  if (!permit_at) {
+    fail_request(context, request_number, kHttpServiceUnavailable,
+                 random_retry_after(state), "no_endpoint");
+    return;
+  }
+  fail_request(context, request_number, kHttpServiceUnavailable,
+               *permit_at - state.now + random_retry_after(state),
+               "endpoint_limits");
+}
+
 // Sends the request to the best endpoint, or rejects it as not run. Unless the
 // call is idempotent, no byte of it may have reached an endpoint that has not
 // stated that it did not run it.
@@ -85,14 +125,21 @@
   criteria.projected_tokens = request.projected_tokens;
   criteria.excluded_endpoints.insert(excluded);
   if (wait_for_placement(context, request_number, request)) return;
-  const std::string endpoint = choose_endpoint(context.state, criteria);
-  request.placement_deadline = 0;
-  if (endpoint.empty()) {
-    fail_request(context, request_number, kHttpServiceUnavailable,
-                 random_retry_after(context.state), "no_endpoint");
+  const Millis now = context.state.now;
+  criteria.needs_permit_now =
+      request.permit_deadline != 0 && request.permit_deadline <= now;
+  const PermittedChoice choice =
+      choose_with_permit(context, criteria, request.awaited_permit);
+  if (choice.endpoint.empty()) {
+    request.awaited_permit = choice.awaited_permit;
+    if (wait_for_permit(context, request, criteria)) {
+      request.avoided_endpoint = excluded;
+      return;
+    }
+    reject_unplaced(context, request_number, criteria);
     return;
   }
-  start_attempt(context, request_number, request, endpoint, {});
+  start_attempt(context, request_number, request, choice.endpoint, {});
 }
 
 bool try_take_request_retry(const RoutingContext& context,
@@ -374,6 +421,8 @@
                    KvCacheSource source) {
   RoutingState& state = context.state;
   assign_endpoint(context, request, endpoint);
+  request.placement_deadline = 0;
+  request.permit_deadline = 0;
   request.attempt += 1;
   request.sent_attempts += 1;
   const EndpointState& target = state.endpoints.at(endpoint);
@@ -619,15 +668,17 @@
 void place_waiting_requests(const RoutingContext& context) {
   std::vector<std::pair<std::uint32_t, std::uint64_t>> waiting;
   for (const auto& [request_number, request] : context.state.requests) {
-    if (request.placement_deadline == 0) continue;
+    const bool is_waiting =
+        request.placement_deadline != 0 || request.permit_deadline != 0;
+    if (!is_waiting) continue;
     const bool prioritized =
         is_prioritized(placement_requirements(context.state, request));
     waiting.emplace_back(prioritized ? 0 : request.rank, request_number);
   }
   std::sort(waiting.begin(), waiting.end());
   for (const auto& [rank, request_number] : waiting) {
-    place_request(context, request_number,
-                  context.state.requests.at(request_number), "");
+    RequestState& request = context.state.requests.at(request_number);
+    place_request(context, request_number, request, request.avoided_endpoint);
   }
 }
 
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -140,6 +140,22 @@
   PlacementRequirements requirements;
 };
 
+// Requests permits for an endpoint from the process that coordinates them.
+struct RequestPermits {
+  std::string endpoint;
+  std::uint32_t count = 0;
+  EndpointLimit limit;
+  Millis requested_at = 0;
+};
+
+// Answers a process's request for permits.
+struct AnswerPermits {
+  std::string peer;
+  std::string endpoint;
+  PermitGrant grant;
+  Millis requested_at = 0;
+};
+
 // Releases an unused copy. Sent to the source and to the target.
 struct FreeCopy {
   std::string address;
@@ -164,6 +180,7 @@
     std::variant<StartAttempt, CancelAttempt, DeliverResponse, RelayStream,
                  FinishStream, SendLocalResponse, AbortResponse, CopyGeneration,
                  RequestCopyLease, ReleaseCopyLease, RequestPlacement,
-                 AnswerPlacement, ForwardPlacement, FreeCopy, RecordDecision>;
+                 AnswerPlacement, ForwardPlacement, RequestPermits,
+                 AnswerPermits, FreeCopy, RecordDecision>;
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -11,8 +11,10 @@
 #include <vector>
 
 #include "libperidotreach/routing/endpoint_entry.h"
+#include "libperidotreach/routing/endpoint_limit.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/prompt_quarantine.h"
+#include "libperidotreach/routing/request_permits.h"
 #include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/time.h"
 
@@ -206,6 +208,28 @@
   Millis retry_after = 0;
 };
 
+// A process requests permits for an endpoint from this one, which coordinates
+// them.
+struct PermitsRequested {
+  std::string peer;
+  std::string endpoint;
+  std::uint32_t count = 0;
+  // The limit that the process knows.
+  EndpointLimit limit;
+  // When it sent the request, by its own clock.
+  Millis requested_at = 0;
+  // The part of the fleet with which this process is in contact, from 0 to 1.
+  double live_share = 1;
+};
+
+// The coordinator's answer to a request for permits.
+struct PermitsAnswered {
+  std::string endpoint;
+  PermitGrant grant;
+  // When the request was sent.
+  Millis requested_at = 0;
+};
+
 // Usage of one endpoint by one process.
 struct EndpointUsage {
   std::string endpoint;
@@ -222,6 +246,14 @@
   bool operator==(const EndpointUsage&) const = default;
 };
 
+// The limit of an endpoint, as one process observed it.
+struct ObservedLimit {
+  std::string endpoint;
+  EndpointLimit limit;
+
+  bool operator==(const ObservedLimit&) const = default;
+};
+
 // Recent requests and retries of one service, as counted by one process.
 struct ServiceRetryCounts {
   std::string service;
@@ -249,6 +281,7 @@
   std::vector<FinishedOutput> finished_outputs;
   // Fingerprints of requests in flight when an endpoint crashed, with counts.
   std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
+  std::vector<ObservedLimit> limits;
   // Processes that the report counts.
   std::uint32_t processes = 1;
 
@@ -276,12 +309,13 @@
   Millis at = 0;
   std::uint64_t random = 0;
   std::variant<ManifestReceived, EndpointListed, EndpointUnlisted,
-               EndpointLeaving, EndpointAnswered, StoreReachabilityChanged, RetryLimitsChanged,
-               RequestArrived, CallerDisconnected, AttemptEnded, StreamOpened,
-               StreamEventReceived, CopyFinished, CopyLeaseGranted,
-               CopyLeaseQueued, PlacementRequested, PlacementAnswered,
-               ForwardedPlacementGranted, PeerReportReceived,
-               PromptReportReceived, PeerLost, RoutingTicked>
+               EndpointLeaving, EndpointAnswered, StoreReachabilityChanged,
+               RetryLimitsChanged, RequestArrived, CallerDisconnected,
+               AttemptEnded, StreamOpened, StreamEventReceived, CopyFinished,
+               CopyLeaseGranted, CopyLeaseQueued, PlacementRequested,
+               PlacementAnswered, ForwardedPlacementGranted, PermitsRequested,
+               PermitsAnswered, PeerReportReceived, PromptReportReceived,
+               PeerLost, RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -106,19 +106,6 @@
   }
 }
 
-// Records a limit that `source`, this process or a peer, observed.
-void observe_limit(const RoutingContext& context, EndpointState& endpoint,
-                   const EndpointLimit& observed, const std::string& source) {
-  if (!update_limit(endpoint.limit, observed)) return;
-  const std::optional<double>& rate = observed.requests_per_second;
-  record_decision(
-      context, "endpoint_limit_changed", 0,
-      {{"endpoint", endpoint.entry.id},
-       {"requests_per_second", rate ? std::to_string(*rate) : "none"},
-       {"source", source},
-       {"age_ms", std::to_string(context.state.now - observed.observed_at)}});
-}
-
 void apply(const RoutingContext& context, const EndpointLeaving& event) {
   EndpointState* endpoint = find_endpoint(context, event.id);
   if (endpoint == nullptr) return;
@@ -127,11 +114,7 @@
 }
 
 void apply(const RoutingContext& context, const EndpointAnswered& event) {
-  EndpointState* endpoint = find_endpoint(context, event.endpoint);
-  if (endpoint == nullptr) return;
-  observe_limit(context, *endpoint,
-                {event.notice.requests_per_second, context.state.now},
-                context.state.config.vm);
+  on_endpoint_answered(context, event);
 }
 
 void apply(const RoutingContext& context,
@@ -203,6 +186,14 @@
   on_placement_answered(context, event);
 }
 
+void apply(const RoutingContext& context, const PermitsRequested& event) {
+  on_permits_requested(context, event);
+}
+
+void apply(const RoutingContext& context, const PermitsAnswered& event) {
+  on_permits_answered(context, event);
+}
+
 // Recomputes the peers' usage of the endpoints in `affected`.
 void sum_peer_usage(RoutingState& state,
                     const std::map<std::string, EndpointUsage>& affected) {
@@ -238,6 +229,11 @@
   for (const FinishedOutput& output : event.finished_outputs) {
     report.finished_outputs[output.route] = output;
   }
+  for (const ObservedLimit& observed : event.limits) {
+    EndpointState* endpoint = find_endpoint(context, observed.endpoint);
+    if (endpoint != nullptr)
+      observe_limit(context, *endpoint, observed.limit, event.peer);
+  }
   PeerRetryReport& retry_report = state.peer_retry_reports[event.peer];
   retry_report.received_at = state.now;
   retry_report.counts_by_service.clear();
@@ -264,6 +260,7 @@
   RoutingState& state = context.state;
   end_overdue_requests(context);
   drop_missing_endpoints(context);
+  expire_permits(context);
   place_queued_requests(context);
   place_waiting_requests(context);
   plan_moves(context);
@@ -325,6 +322,7 @@
       std::holds_alternative<AttemptEnded>(event.body) ||
       std::holds_alternative<CallerDisconnected>(event.body);
   if (frees_capacity) place_waiting_requests(context);
+  request_wanted_permits(context);
   return step;
 }
 
--- a/src/libperidotreach/routing/routing_reducer.h
+++ b/src/libperidotreach/routing/routing_reducer.h
@@ -23,4 +23,7 @@
 // Applies one event.
 RoutingStep reduce(RoutingState state, const RoutingEvent& event);
 
+// Returns the limits of endpoints to report to peers.
+std::vector<ObservedLimit> reported_limits(const RoutingState& state);
+
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -49,7 +49,12 @@
   Millis transport_failures_updated_at = 0;
   std::uint32_t consecutive_connect_failures = 0;
   Millis ejected_until = 0;
+  // The newest limit that is known, the one that this process observed itself,
+  // and when the endpoint last ceased to name one; 0 if it never did.
   EndpointLimit limit;
+  EndpointLimit own_limit;
+  Millis limit_ended_at = 0;
+  EndpointPermits permits;
   // Usage by this process and by all peers.
   EndpointUsage own_usage;
   EndpointUsage peer_usage;
@@ -111,6 +116,12 @@
   std::uint32_t attempt = 0;
   // Waits for a placement until this time; 0 if it does not wait.
   Millis placement_deadline = 0;
+  // Until when it waits for a permit of a limited endpoint; 0 if it does not.
+  Millis permit_deadline = 0;
+  // The endpoint of that permit.
+  std::string awaited_permit;
+  // The endpoint that it is not sent to again.
+  std::string avoided_endpoint;
   // When a placement was last requested, and whether the coordinator has
   // answered since.
   Millis placement_requested_at = 0;
@@ -220,6 +231,10 @@
   // place.
   std::vector<BlockedMove> blocked_moves;
   std::vector<ChargedMove> charged_moves;
+  // Permits that this process coordinates, by endpoint.
+  std::map<std::string, PermitBucket> permit_buckets;
+  // Endpoints for which requests have found no permit.
+  std::set<std::string> permits_wanted;
   // Output lengths by route and account.
   LengthModel length_model;
   // Finished generations by route.
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -117,6 +117,36 @@
 bool wait_for_placement(const RoutingContext& context,
                         std::uint64_t request_number, RequestState& request);
 
+// Limits of endpoints (limited_endpoints.cc).
+// An endpoint that was chosen, empty if there is none, and the endpoint for
+// which a permit was requested first, if any.
+struct PermittedChoice {
+  std::string endpoint;
+  std::string awaited_permit;
+};
+// Chooses an endpoint and uses a permit if it has a limit. Does not choose
+// another one while the answer for `awaited_permit`, of an earlier choice for
+// the same request, is outstanding.
+PermittedChoice choose_with_permit(const RoutingContext& context,
+                                   const EndpointCriteria& criteria,
+                                   const std::string& awaited_permit = "");
+// Counts a request that has to be sent to an endpoint without a permit.
+void overdraw_permits(const RoutingContext& context,
+                      const std::string& endpoint);
+// Records a limit that `source`, this process or a peer, observed.
+void observe_limit(const RoutingContext& context, EndpointState& endpoint,
+                   const EndpointLimit& observed, const std::string& source);
+void on_endpoint_answered(const RoutingContext& context,
+                          const EndpointAnswered& event);
+void on_permits_requested(const RoutingContext& context,
+                          const PermitsRequested& event);
+void on_permits_answered(const RoutingContext& context,
+                         const PermitsAnswered& event);
+// Requests the permits for which requests wait.
+void request_wanted_permits(const RoutingContext& context);
+// Gives up permit requests that are not answered and removes unused buckets.
+void expire_permits(const RoutingContext& context);
+
 // Moves (generation_moves.cc).
 // Starts due moves, and continues moves whose coordinator does not answer.
 void plan_moves(const RoutingContext& context);
--- a/src/peridot-router/coordination.cc
+++ b/src/peridot-router/coordination.cc
@@ -5,6 +5,7 @@
 #include "fleet.pb.h"
 #include "libperidotreach/routing/peer_view.h"
 #include "libperidotreach/routing/relays.h"
+#include "peridot-router/endpoint_limit_cell.h"
 #include "peridot-router/peer_link.h"
 
 namespace peridotreach {
@@ -226,4 +227,54 @@
        static_cast<Millis>(placement.retry_after_ms())});
 }
 
+void Coordination::request_permits(const RequestPermits& effect, Millis now) {
+  const std::string coordinator = lease_coordinator(effect.endpoint, now);
+  if (coordinator == link_.self().vm) {
+    handlers_.on_permits_requested(
+        {link_.self().vm, effect.endpoint, effect.count, effect.limit,
+         effect.requested_at, live_share(link_.view(), now)});
+    return;
+  }
+  proto::Envelope message = link_.make_envelope();
+  proto::PermitMessage& request = *message.mutable_permits();
+  request.set_count(effect.count);
+  request.set_requested_at_ms(static_cast<std::uint64_t>(effect.requested_at));
+  encode_limit({effect.endpoint, effect.limit}, now, *request.mutable_limit());
+  link_.send_to(coordinator, message, now);
+}
+
+void Coordination::answer_permits(const AnswerPermits& effect, Millis now) {
+  if (effect.peer == link_.self().vm) {
+    handlers_.on_permits_answered(
+        {effect.endpoint, effect.grant, effect.requested_at});
+    return;
+  }
+  proto::Envelope message = link_.make_envelope();
+  proto::PermitMessage& answer = *message.mutable_permits();
+  answer.set_is_answer(true);
+  answer.set_count(effect.grant.permits);
+  answer.set_retry_after_ms(
+      static_cast<std::uint32_t>(effect.grant.retry_after));
+  answer.set_requested_at_ms(static_cast<std::uint64_t>(effect.requested_at));
+  answer.mutable_limit()->set_endpoint(effect.endpoint);
+  link_.send_to(effect.peer, message, now);
+}
+
+void Coordination::handle_permit_message(const std::string& vm,
+                                         const proto::PermitMessage& permits,
+                                         Millis now) {
+  const auto requested_at = static_cast<Millis>(permits.requested_at_ms());
+  if (permits.is_answer()) {
+    handlers_.on_permits_answered(
+        {permits.limit().endpoint(),
+         {permits.count(), static_cast<Millis>(permits.retry_after_ms())},
+         requested_at});
+    return;
+  }
+  ObservedLimit known = decode_limit(permits.limit(), now);
+  handlers_.on_permits_requested({vm, std::move(known.endpoint),
+                                  permits.count(), known.limit, requested_at,
+                                  live_share(link_.view(), now)});
+}
+
 }  // namespace peridotreach
--- a/src/peridot-router/coordination.h
+++ b/src/peridot-router/coordination.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Messages between a router process and the coordinators of copy leases and of
-// placements. This process may be either.
+// Messages between a router process and the coordinators of copy leases,
+// placements and permits. This process may be either.
 
 #include <functional>
 #include <string>
@@ -16,17 +16,20 @@
 
 // TurnMessage is the message on copy leases, RoomMessage the one on placements.
 namespace proto {
+class PermitMessage;
 class RoomMessage;
 class TurnMessage;
 }  // namespace proto
 
-// Callbacks for messages on leases and placements.
+// Callbacks for messages on leases, placements and permits.
 struct CoordinationHandlers {
   std::function<void(const CopyLeaseGranted&)> on_copy_lease_granted;
   std::function<void(const CopyLeaseQueued&)> on_copy_lease_queued;
   std::function<void(const PlacementRequested&)> on_placement_requested;
   std::function<void(const PlacementAnswered&)> on_placement_answered;
   std::function<void(const ForwardedPlacementGranted&)> on_forwarded_granted;
+  std::function<void(const PermitsRequested&)> on_permits_requested;
+  std::function<void(const PermitsAnswered&)> on_permits_answered;
 };
 
 // Requests leases and placements, and grants leases.
@@ -50,7 +53,13 @@
   // Passes a process's request on to the coordinator of another cell.
   void forward_placement(const ForwardPlacement& effect, Millis now);
 
-  // Returns the VM that coordinates the copy leases of `endpoint`.
+  // Requests permits for a limited endpoint from their coordinator, or answers
+  // the request of a process that this one coordinates permits for.
+  void request_permits(const RequestPermits& effect, Millis now);
+  void answer_permits(const AnswerPermits& effect, Millis now);
+
+  // Returns the VM that coordinates the copy leases and the permits of
+  // `endpoint`.
   std::string lease_coordinator(const std::string& endpoint, Millis now) const;
 
   void handle_lease_message(const std::string& vm,
@@ -58,6 +67,8 @@
   void handle_placement_message(const std::string& vm,
                                 const proto::RoomMessage& placement,
                                 Millis now);
+  void handle_permit_message(const std::string& vm,
+                             const proto::PermitMessage& permits, Millis now);
 
  private:
   std::string placement_coordinator_of(const std::string& service,
--- a/src/peridot-router/digest_codec.cc
+++ b/src/peridot-router/digest_codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fleet.pb.h"
+#include "peridot-router/endpoint_limit_cell.h"
 #include "peridot-router/prompt_crash_cell.h"
 
 namespace peridotreach {
@@ -34,7 +35,11 @@
   return {decode_record(cell), cell.ready()};
 }
 
-void encode_report(const PeerReportReceived& report,
+std::uint32_t age_of(Millis at, Millis now) {
+  return static_cast<std::uint32_t>(std::max<Millis>(0, now - at));
+}
+
+void encode_report(const PeerReportReceived& report, Millis now,
                    proto::RoutingDigest& message) {
   message.set_processes(report.processes);
   for (const EndpointUsage& usage : report.endpoint_usage) {
@@ -64,9 +69,12 @@
     cell.set_fingerprint(fingerprint);
     cell.set_deaths(crashes);
   }
+  for (const ObservedLimit& observed : report.limits)
+    encode_limit(observed, now, *message.add_limits());
 }
 
-PeerReportReceived decode_report(const proto::RoutingDigest& message) {
+PeerReportReceived decode_report(const proto::RoutingDigest& message,
+                                 Millis now) {
   PeerReportReceived report;
   // Earlier versions send no number of processes.
   if (message.processes() > 0) report.processes = message.processes();
@@ -85,13 +93,11 @@
   }
   for (const proto::SuspectCell& cell : message.suspects())
     report.suspects.emplace_back(cell.fingerprint(), cell.deaths());
+  for (const proto::EndpointLimitCell& cell : message.limits())
+    report.limits.push_back(decode_limit(cell, now));
   return report;
 }
 
-std::uint32_t age_of(Millis at, Millis now) {
-  return static_cast<std::uint32_t>(std::max<Millis>(0, now - at));
-}
-
 void encode_prompts(const PromptReport& prompts, Millis now,
                     proto::RoutingDigest& message) {
   for (const PromptCrash& crash : prompts.crashes)
@@ -124,7 +130,7 @@
   message.set_endpoints_revision(digest.endpoints_revision);
   message.set_scope(static_cast<proto::RoutingDigest::Scope>(digest.scope));
   message.set_answer(static_cast<proto::RoutingDigest::Answer>(digest.answer));
-  encode_report(digest.report, message);
+  encode_report(digest.report, now, message);
   encode_prompts(digest.prompts, now, message);
   for (const TableConfirmation& confirmation : digest.confirmations) {
     proto::ConfirmationCell& cell = *message.add_confirmations();
@@ -152,7 +158,7 @@
   digest.endpoints_revision = message.endpoints_revision();
   digest.scope = static_cast<ReportScope>(message.scope());
   digest.answer = static_cast<DigestAnswer>(message.answer());
-  digest.report = decode_report(message);
+  digest.report = decode_report(message, now);
   digest.prompts = decode_prompts(message, now);
   for (const proto::ConfirmationCell& cell : message.confirmations())
     digest.confirmations.push_back({cell.vm(), now - cell.age_ms()});
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -556,6 +556,9 @@
     case proto::Envelope::kRoom:
       coordination_.handle_placement_message(sender, message.room(), now);
       return;
+    case proto::Envelope::kPermits:
+      coordination_.handle_permit_message(sender, message.permits(), now);
+      return;
     case proto::Envelope::kChange:
       tables_.handle_change(sender, message.change(), now);
       return;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -93,7 +93,9 @@
           [this](const CopyLeaseQueued& lease) { post(lease); },
           [this](const PlacementRequested& request) { post(request); },
           [this](const PlacementAnswered& answer) { post(answer); },
-          [this](const ForwardedPlacementGranted& grant) { post(grant); }};
+          [this](const ForwardedPlacementGranted& grant) { post(grant); },
+          [this](const PermitsRequested& request) { post(request); },
+          [this](const PermitsAnswered& answer) { post(answer); }};
 }
 
 TableHandlers RouterNode::table_handlers() {
@@ -259,6 +261,7 @@
   for (const auto& [fingerprint, suspect] : state_.quarantine.suspects) {
     report.suspects.emplace_back(fingerprint, suspect.crashes);
   }
+  report.limits = reported_limits(state_);
   digest.prompts = make_report(state_.prompt_quarantine,
                                peers_.topology().is_relay, state_.now);
   return digest;
@@ -609,6 +612,14 @@
   peers_.coordination().forward_placement(effect, monotonic_now());
 }
 
+void RouterNode::perform(const RequestPermits& effect) {
+  peers_.coordination().request_permits(effect, monotonic_now());
+}
+
+void RouterNode::perform(const AnswerPermits& effect) {
+  peers_.coordination().answer_permits(effect, monotonic_now());
+}
+
 void RouterNode::perform(const FreeCopy& effect) {
   co_spawn(io_, free_copy(effect), asio::detached);
 }
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -124,6 +124,8 @@
   void perform(const RequestPlacement& effect);
   void perform(const AnswerPlacement& effect);
   void perform(const ForwardPlacement& effect);
+  void perform(const RequestPermits& effect);
+  void perform(const AnswerPermits& effect);
   void perform(const FreeCopy& effect);
   void perform(const RecordDecision& effect);
 
--- /dev/null
+++ b/tests/routing/limit_simulation.h
@@ -0,0 +1,110 @@
+#pragma once
+
+// A fleet of routing reducers that send calls to endpoints with limited rates,
+// in virtual time. Processes exchange reports and requests for permits over
+// links with a delay, and may be cut off, paused or restarted.
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libperidotreach/routing/peer_view.h"
+#include "libperidotreach/routing/routing_reducer.h"
+
+namespace peridotreach::samples {
+
+// A call that reached an endpoint.
+struct SimulatedArrival {
+  Millis at = 0;
+  std::string vm;
+  std::string endpoint;
+  // Whether an answer that named the limit had reached the process at least
+  // half a second before, and nothing had disturbed it since then or lately.
+  bool counts = false;
+};
+
+// The callers' view of what happened.
+struct SimulatedOutcomes {
+  std::uint64_t served = 0;
+  std::uint64_t rejected = 0;
+  Millis longest_wait_of_rejected = 0;
+};
+
+class LimitSimulation {
+ public:
+  // Each endpoint takes `requests_per_second`.
+  LimitSimulation(std::size_t vms, std::size_t endpoints,
+                  double requests_per_second);
+
+  // Runs for `duration` with `calls_per_second` in the whole fleet.
+  void run(Millis duration, double calls_per_second);
+
+  // Disturbances, from now on. A cut-off process reaches endpoints, but no
+  // peer.
+  void cut_off(std::size_t vm);
+  void reconnect(std::size_t vm);
+  void pause(std::size_t vm);
+  void resume(std::size_t vm);
+  void restart(std::size_t vm);
+
+  // Returns the process that coordinates the permits of an endpoint, by the
+  // view of process `vm`.
+  std::size_t coordinator(std::size_t endpoint, std::size_t vm) const;
+
+  // Returns the largest number of counted arrivals at an endpoint in any 4 s
+  // after the grace period.
+  std::size_t most_arrivals_in_window() const;
+
+  // Returns how many calls reached all endpoints after `since`.
+  std::size_t arrivals_since(Millis since) const;
+
+  const SimulatedOutcomes& outcomes() const { return outcomes_; }
+  Millis now() const { return now_; }
+
+ private:
+  struct Process {
+    std::string vm;
+    RoutingState state;
+    PeerView view;
+    std::uint64_t incarnation = 1;
+    bool is_cut_off = false;
+    bool is_paused = false;
+    Millis disturbed_at = -1;
+    // When it first heard the limit of each endpoint.
+    std::map<std::string, Millis> told_at;
+    std::map<std::uint64_t, Millis> arrived_at;
+    // What arrived while it was paused.
+    std::deque<std::function<void()>> missed;
+  };
+
+  void apply(Process& process, decltype(RoutingEvent::body) body);
+  void start(Process& process);
+  void send(Process& from, const std::string& to, std::function<void()> deliver,
+            Millis delay);
+  void later(Millis delay, Process& process, std::function<void()> action);
+  void report(Process& process);
+  void request_permits(Process& process, const RequestPermits& effect);
+  void answer_permits(Process& process, const AnswerPermits& effect);
+  void start_attempt(Process& process, const StartAttempt& attempt);
+  void perform(Process& process, const RoutingEffect& effect);
+  Process& find(const std::string& vm);
+  bool counts(const Process& process, const std::string& endpoint) const;
+
+  Millis now_ = 1000;
+  Millis started_at_ = 1000;
+  double rate_;
+  std::size_t endpoints_;
+  double calls_due_ = 0;
+  std::uint64_t random_ = 1;
+  std::uint64_t next_request_ = 1;
+  std::vector<Process> processes_;
+  std::multimap<Millis, std::function<void()>> scheduled_;
+  std::vector<SimulatedArrival> arrivals_;
+  SimulatedOutcomes outcomes_;
+};
+
+}  // namespace peridotreach::samples
--- a/tests/routing/routing_property_test.cc
+++ b/tests/routing/routing_property_test.cc
@@ -59,6 +59,8 @@
   void step() {
     if (random_below(3) != 0) answer_placement();
     if (random_below(6) == 0) receive_update();
+    if (random_below(3) != 0) answer_permits();
+    if (random_below(12) == 0) change_limit();
     switch (random_below(10)) {
       case 0:
       case 1:
@@ -214,6 +216,39 @@
     }
   }
 
+  // An endpoint names a limit, or none, or a peer requests permits for it.
+  void change_limit() {
+    const char* const ids[] = {"e1", "e2", "e3", "p1", "p2", "none"};
+    const char* const id = ids[random_below(6)];
+    EndpointNotice notice;
+    if (random_below(2) == 0)
+      notice.requests_per_second = static_cast<double>(random_below(9)) / 2;
+    if (random_below(3) == 0) {
+      apply(PermitsRequested{"vm-2",
+                             id,
+                             1 + static_cast<std::uint32_t>(random_below(4)),
+                             {notice.requests_per_second, router_.now},
+                             router_.now,
+                             0.5});
+      return;
+    }
+    apply(EndpointAnswered{id, notice});
+  }
+
+  // Answers the oldest request for permits, at times with a wrong time.
+  void answer_permits() {
+    if (permit_requests_.empty()) return;
+    const RequestPermits request = permit_requests_.front();
+    permit_requests_.erase(permit_requests_.begin());
+    const auto granted = static_cast<std::uint32_t>(
+        random_below(std::uint64_t{request.count} + 1));
+    const Millis error = random_below(5) == 0 ? 1 : 0;
+    apply(PermitsAnswered{
+        request.endpoint,
+        {granted, granted > 0 ? 0 : 1 + static_cast<Millis>(random_below(900))},
+        request.requested_at - error});
+  }
+
   void answer_copy() {
     for (const auto& [request_number, request] : router_.state.requests) {
       const MovePhase phase = request.move.phase;
@@ -324,6 +359,15 @@
   void check_effect(const RequestPlacement& effect) {
     placement_requests_.push_back(effect.request);
   }
+  void check_effect(const RequestPermits& effect) {
+    CHECK(effect.count > 0);
+    CHECK(effect.count <= kMaxPermitsAtOnce);
+    CHECK(effect.limit.requests_per_second.has_value());
+    permit_requests_.push_back(effect);
+  }
+  void check_effect(const AnswerPermits& effect) {
+    CHECK((effect.grant.permits > 0 || effect.grant.retry_after > 0));
+  }
   void check_effect(const ForwardPlacement&) {}
   void check_effect(const AnswerPlacement&) {}
   void check_effect(const RequestCopyLease&) {}
@@ -358,6 +402,7 @@
   Millis retry_limits_changed_at_ = 0;
   int budgets_checked_ = 0;
   std::vector<std::uint64_t> placement_requests_;
+  std::vector<RequestPermits> permit_requests_;
 };
 
 TEST_CASE("random faults do not violate the routing guarantees",
