Order the store's revisions by its era

Cause: revisions were compared as numbers. The class: an order that holds only as long as its source never goes back.

Change: revisions are ordered by the era that the store names. Contents keep their own order by manifest version and the sequence of an endpoint's entry, so that an older copy does not bring back an old manifest or an endpoint that has left.

--- a/src/libperidotreach/routing/endpoint_entry.h
+++ b/src/libperidotreach/routing/endpoint_entry.h
@@ -22,6 +22,8 @@
   Millis remaining_warm_up = 0;
   // Wall-clock start time in milliseconds; 0 if unknown.
   std::uint64_t started_at_ms = 0;
+  // Rises with each report since the start; 0 if unknown.
+  std::uint64_t sequence = 0;
 
   bool operator==(const EndpointEntry&) const = default;
 };
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -16,6 +16,7 @@
 #include "libperidotreach/routing/prompt_quarantine.h"
 #include "libperidotreach/routing/request_permits.h"
 #include "libperidotreach/routing/shared_retry_budget.h"
+#include "libperidotreach/routing/store_revision.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -46,7 +47,7 @@
 struct ManifestReceived {
   Manifest manifest;
   // Revision of the table that holds it, and "store" or the peer's VM.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::string source;
 };
 
@@ -70,6 +71,12 @@
   bool is_reachable = true;
 };
 
+// The store has answered in this era, directly or by way of a peer. It begins a
+// new one when it is restored from an older copy.
+struct StoreEraSeen {
+  std::uint64_t era = 0;
+};
+
 // The limits of the fleet's retry budget have changed.
 struct RetryLimitsChanged {
   RetryBudgetLimits retry_limits;
@@ -308,14 +315,14 @@
 struct RoutingEvent {
   Millis at = 0;
   std::uint64_t random = 0;
-  std::variant<ManifestReceived, EndpointListed, EndpointUnlisted,
-               EndpointLeaving, EndpointAnswered, StoreReachabilityChanged,
-               RetryLimitsChanged, RequestArrived, CallerDisconnected,
-               AttemptEnded, StreamOpened, StreamEventReceived, CopyFinished,
-               CopyLeaseGranted, CopyLeaseQueued, PlacementRequested,
-               PlacementAnswered, ForwardedPlacementGranted, PermitsRequested,
-               PermitsAnswered, PeerReportReceived, PromptReportReceived,
-               PeerLost, RoutingTicked>
+  std::variant<
+      ManifestReceived, EndpointListed, EndpointUnlisted, EndpointLeaving,
+      EndpointAnswered, StoreReachabilityChanged, StoreEraSeen,
+      RetryLimitsChanged, RequestArrived, CallerDisconnected, AttemptEnded,
+      StreamOpened, StreamEventReceived, CopyFinished, CopyLeaseGranted,
+      CopyLeaseQueued, PlacementRequested, PlacementAnswered,
+      ForwardedPlacementGranted, PermitsRequested, PermitsAnswered,
+      PeerReportReceived, PromptReportReceived, PeerLost, RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -1,8 +1,10 @@
 #include "libperidotreach/routing/routing_reducer.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "libperidotreach/routing/endpoint_choice.h"
+#include "libperidotreach/routing/item_order.h"
 #include "libperidotreach/routing/routing_steps.h"
 
 namespace peridotreach {
@@ -20,7 +22,7 @@
   RoutingState& state = context.state;
   std::vector<DecisionField> fields = {
       {"version", std::to_string(event.manifest.version)},
-      {"revision", std::to_string(event.revision)},
+      {"revision", format_revision(event.revision)},
       {"source", event.source}};
   if (state.manifest && event.manifest.version <= state.manifest->version) {
     fields.push_back({"in_force", std::to_string(state.manifest->version)});
@@ -40,6 +42,16 @@
                   {{"endpoint", endpoint.entry.id}, {"cause", cause}});
 }
 
+// Returns whether an entry says less than what is known of the endpoint. A
+// restored store brings back entries of endpoints that have left since.
+bool is_outdated(const EndpointState& endpoint, const EndpointEntry& entry) {
+  if (is_older(entry, endpoint.entry)) return true;
+  const bool is_known_entry =
+      entry.sequence != 0 && entry.sequence == endpoint.entry.sequence &&
+      entry.started_at_ms == endpoint.entry.started_at_ms;
+  return is_known_entry && !endpoint.listed && endpoint.was_removed;
+}
+
 void apply(const RoutingContext& context, const EndpointListed& event) {
   RoutingState& state = context.state;
   const EndpointEntry& entry = event.entry;
@@ -56,9 +68,17 @@
                     {{"endpoint", entry.id}, {"service", entry.service}});
   }
   EndpointState& endpoint = state.endpoints[entry.id];
+  if (is_outdated(endpoint, entry)) {
+    record_decision(context, "endpoint_entry_ignored", 0,
+                    {{"endpoint", entry.id},
+                     {"sequence", std::to_string(entry.sequence)},
+                     {"known", std::to_string(endpoint.entry.sequence)}});
+    return;
+  }
   const bool is_relisted = !endpoint.listed;
   endpoint.entry = entry;
   endpoint.listed = true;
+  endpoint.was_removed = false;
   endpoint.entry_missing_since = 0;
   endpoint.warm_up_until = state.now + entry.remaining_warm_up;
   if (entry.leaving) mark_leaving(context, endpoint, "notice");
@@ -89,6 +109,7 @@
     record_decision(context, "endpoint_absent", 0, {{"endpoint", event.id}});
     return;
   }
+  endpoint->was_removed = true;
   drop_endpoint(context, *endpoint);
   plan_moves(context);
 }
@@ -125,6 +146,19 @@
   if (event.is_reachable) state.store_regained_at = state.now;
 }
 
+// The entries that a restored store lost are registered again, as after an
+// outage.
+void apply(const RoutingContext& context, const StoreEraSeen& event) {
+  RoutingState& state = context.state;
+  if (event.era <= state.store_era) return;
+  const std::uint64_t previous_era = std::exchange(state.store_era, event.era);
+  if (previous_era == 0) return;
+  if (state.store_reachable) state.store_regained_at = state.now;
+  record_decision(context, "store_restored", 0,
+                  {{"era", std::to_string(event.era)},
+                   {"previous_era", std::to_string(previous_era)}});
+}
+
 void apply(const RoutingContext& context, const RetryLimitsChanged& event) {
   context.state.config.retry_limits = event.retry_limits;
 }
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -39,6 +39,9 @@
   // Since when its entry has been missing after a store outage, while it may
   // still return; 0 if it is not missing.
   Millis entry_missing_since = 0;
+  // Whether its entry was removed, other than by an outage or a restoration of
+  // the store.
+  bool was_removed = false;
   // When it was first known to be leaving; 0 if it is not.
   Millis leaving_since = 0;
   Millis warm_up_until = 0;
@@ -217,6 +220,8 @@
   // Whether calls to the store succeed, and since when they succeed again.
   bool store_reachable = true;
   Millis store_regained_at = 0;
+  // The newest era of the store that is known.
+  std::uint64_t store_era = 0;
   std::optional<Manifest> manifest;
   // The shortest first-byte objective of the manifest's stream routes; 0 if it
   // has none.
--- a/src/libperidotreach/routing/table_lag.cc
+++ b/src/libperidotreach/routing/table_lag.cc
@@ -16,9 +16,9 @@
 
 }  // namespace
 
-void record_peer_revision(TableLag& lag, std::uint64_t own_revision,
-                          const std::string& peer, std::uint64_t peer_revision,
-                          Millis now) {
+void record_peer_revision(TableLag& lag, const StoreRevision& own_revision,
+                          const std::string& peer,
+                          const StoreRevision& peer_revision, Millis now) {
   if (peer_revision <= own_revision) return;
   if (lag.peer.empty()) {
     lag.own_revision = own_revision;
@@ -31,7 +31,7 @@
 }
 
 std::optional<std::string> take_due_request(TableLag& lag,
-                                            std::uint64_t own_revision,
+                                            const StoreRevision& own_revision,
                                             Millis now) {
   if (lag.peer.empty()) return std::nullopt;
   const bool is_over = lag.peer_revision <= own_revision ||
@@ -47,7 +47,7 @@
   }
   // An empty table means that this process has just started: it requests the
   // table without delay.
-  if (own_revision != 0 && now - lag.since < kTableLagTolerance)
+  if (own_revision != StoreRevision() && now - lag.since < kTableLagTolerance)
     return std::nullopt;
   if (lag.requested_at != 0 && now - lag.requested_at < kTableRequestInterval)
     return std::nullopt;
--- a/src/libperidotreach/routing/table_lag.h
+++ b/src/libperidotreach/routing/table_lag.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "libperidotreach/routing/store_revision.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -18,11 +19,11 @@
   // The peer that last reported a newer copy, the copy's revision, and when it
   // was reported.
   std::string peer;
-  std::uint64_t peer_revision = 0;
+  StoreRevision peer_revision;
   Millis reported_at = 0;
   // The process's own revision when a newer one was first reported, and when
   // that was.
-  std::uint64_t own_revision = 0;
+  StoreRevision own_revision;
   Millis since = 0;
   // When the table was last requested; 0 if it was not.
   Millis requested_at = 0;
@@ -31,14 +32,14 @@
 };
 
 // Records that `peer` has a copy with `peer_revision`, which may not be newer.
-void record_peer_revision(TableLag& lag, std::uint64_t own_revision,
-                          const std::string& peer, std::uint64_t peer_revision,
-                          Millis now);
+void record_peer_revision(TableLag& lag, const StoreRevision& own_revision,
+                          const std::string& peer,
+                          const StoreRevision& peer_revision, Millis now);
 
 // Returns the peer to request the table from now, and records the request; none
 // if the table is up to date, or the change may still arrive by itself.
 std::optional<std::string> take_due_request(TableLag& lag,
-                                            std::uint64_t own_revision,
+                                            const StoreRevision& own_revision,
                                             Millis now);
 
 }  // namespace peridotreach
--- a/src/peridot-router/digest_codec.cc
+++ b/src/peridot-router/digest_codec.cc
@@ -126,8 +126,10 @@
   message.set_ready(digest.status.ready);
   message.set_stopping(digest.status.stopping);
   message.set_reads_store(digest.status.store_reachable);
-  message.set_manifest_revision(digest.manifest_revision);
-  message.set_endpoints_revision(digest.endpoints_revision);
+  message.set_manifest_revision(digest.manifest_revision.number);
+  message.set_manifest_era(digest.manifest_revision.era);
+  message.set_endpoints_revision(digest.endpoints_revision.number);
+  message.set_endpoints_era(digest.endpoints_revision.era);
   message.set_scope(static_cast<proto::RoutingDigest::Scope>(digest.scope));
   message.set_answer(static_cast<proto::RoutingDigest::Answer>(digest.answer));
   encode_report(digest.report, now, message);
@@ -154,8 +156,10 @@
   PeerDigest digest;
   digest.self = decode_record(message.self());
   digest.status = {message.ready(), message.stopping(), message.reads_store()};
-  digest.manifest_revision = message.manifest_revision();
-  digest.endpoints_revision = message.endpoints_revision();
+  digest.manifest_revision = {message.manifest_era(),
+                              message.manifest_revision()};
+  digest.endpoints_revision = {message.endpoints_era(),
+                               message.endpoints_revision()};
   digest.scope = static_cast<ReportScope>(message.scope());
   digest.answer = static_cast<DigestAnswer>(message.answer());
   digest.report = decode_report(message, now);
--- a/src/peridot-router/peer_digest.h
+++ b/src/peridot-router/peer_digest.h
@@ -9,6 +9,7 @@
 #include "libperidotreach/routing/fleet_reports.h"
 #include "libperidotreach/routing/peer_view.h"
 #include "libperidotreach/routing/routing_event.h"
+#include "libperidotreach/routing/store_revision.h"
 #include "libperidotreach/routing/table_freshness.h"
 
 namespace peridotreach {
@@ -34,8 +35,8 @@
 struct PeerDigest {
   PeerRecord self;
   PeerStatus status;
-  std::uint64_t manifest_revision = 0;
-  std::uint64_t endpoints_revision = 0;
+  StoreRevision manifest_revision;
+  StoreRevision endpoints_revision;
   ReportScope scope = ReportScope::kProcess;
   DigestAnswer answer = DigestAnswer::kNone;
   // The figures; `peer` is not sent.
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -465,6 +465,8 @@
   if (digest.prompts != PromptReport())
     handlers_.on_prompt_report({digest.self.vm, digest.prompts});
   answer_digest(digest, now);
+  handlers_.on_store_era(
+      std::max(digest.manifest_revision.era, digest.endpoints_revision.era));
   tables_.record_peer_revision(kManifestTable, digest.manifest_revision,
                                digest.self.vm, now);
   tables_.record_peer_revision(kEndpointTable, digest.endpoints_revision,
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -40,6 +40,8 @@
   std::function<void(const EndpointLeaving&)> on_endpoint_leaving;
   // Whether the relay of this process reaches the store.
   std::function<void(bool is_reachable)> on_store_status;
+  // The era of the store in which a peer has read a table.
+  std::function<void(std::uint64_t era)> on_store_era;
   CoordinationHandlers coordination;
   TableHandlers tables;
 };
@@ -139,8 +141,8 @@
   TableFreshness freshness_;
   bool tables_confirmed_ = false;
   Millis last_own_confirmation_ = 0;
-  std::uint64_t last_manifest_revision_ = 0;
-  std::uint64_t last_endpoints_revision_ = 0;
+  StoreRevision last_manifest_revision_;
+  StoreRevision last_endpoints_revision_;
   PeerDigest last_zone_digest_;
   Millis last_zone_digest_at_ = 0;
   Millis last_complete_list_at_ = 0;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libperidotreach/routing/endpoint_choice.h"
+#include "libperidotreach/routing/item_order.h"
 #include "peridot-router/caller_session.h"
 #include "peridot-router/quarantine_codec.h"
 #include "runtime/clock.h"
@@ -86,6 +87,7 @@
                  [this](bool is_reachable) {
                    post(StoreReachabilityChanged{is_reachable});
                  },
+                 [this](std::uint64_t era) { see_store_era(era); },
                  coordination_handlers(), table_handlers()}) {}
 
 CoordinationHandlers RouterNode::coordination_handlers() {
@@ -334,8 +336,12 @@
 }
 
 void RouterNode::set_store_reachable(bool is_reachable) {
-  peers_.record_store_call(is_reachable, state_.store_reachable,
-                           monotonic_now());
+  // A call that succeeds after a restoration of the store says nothing about
+  // tables that were read before.
+  if (!is_reachable || has_current_tables()) {
+    peers_.record_store_call(is_reachable, state_.store_reachable,
+                             monotonic_now());
+  }
   post(StoreReachabilityChanged{is_reachable});
 }
 
@@ -390,39 +396,85 @@
   apply_changes(table, changes, "store");
 }
 
+void RouterNode::see_store_era(std::uint64_t era) {
+  if (era > state_.store_era) post(StoreEraSeen{era});
+}
+
+bool RouterNode::has_current_tables() const {
+  return std::all_of(kSharedTables.begin(), kSharedTables.end(),
+                     [this](const char* name) {
+                       const auto table = tables_.find(name);
+                       return table != tables_.end() &&
+                              table->second.revision.era >= state_.store_era;
+                     });
+}
+
+bool RouterNode::stays(const std::string& table, const std::string& held,
+                       const std::string* incoming) {
+  if (table == kManifestTable) {
+    if (incoming == nullptr) return true;
+    Result<Manifest> decoded = table_decoders_.manifest(*incoming);
+    if (!ok(decoded)) {
+      log(LogLevel::kError, "manifest_unreadable",
+          {{"cause", describe(error(decoded))}});
+    }
+    const bool is_outdated =
+        !ok(decoded) ||
+        (state_.manifest && is_older(value(decoded), *state_.manifest));
+    if (!is_outdated)
+      decoded_manifest_ = std::get<Manifest>(std::move(decoded));
+    return is_outdated;
+  }
+  if (incoming == nullptr) return false;
+  // The key is part of an entry but not of its order.
+  const Result<EndpointEntry> current = table_decoders_.endpoint("", held);
+  const Result<EndpointEntry> other = table_decoders_.endpoint("", *incoming);
+  return ok(current) && ok(other) && is_older(value(other), value(current));
+}
+
+ItemHandlers RouterNode::item_handlers(const std::string& table,
+                                       const std::string& source) {
+  return {
+      [this, table, source](const std::string& key, const std::string* now) {
+        on_item_changed(table, key, now, source);
+      },
+      [this, table](const std::string&, const std::string& held,
+                    const std::string* incoming) {
+        return stays(table, held, incoming);
+      }};
+}
+
 void RouterNode::apply_store_read(const std::string& table,
                                   const std::vector<ItemChange>& items,
-                                  std::uint64_t read_revision) {
+                                  const StoreRevision& read_revision) {
+  see_store_era(read_revision.era);
   SharedTableState& state = tables_[table];
-  const std::uint64_t previous_revision = state.revision;
+  const StoreRevision previous_revision = state.revision;
   std::vector<ItemChange> changes;
-  apply_read(state, items, read_revision,
-             [&](const std::string& changed, const std::string* now) {
-               ItemChange change{changed, std::nullopt, state.revision};
-               if (now != nullptr) change.value = *now;
-               changes.push_back(std::move(change));
-               on_item_changed(table, changed, now, "store");
-             });
+  ItemHandlers handlers = item_handlers(table, "store");
+  handlers.on_change = [&](const std::string& changed, const std::string* now) {
+    ItemChange change{changed, std::nullopt, state.revision};
+    if (now != nullptr) change.value = *now;
+    changes.push_back(std::move(change));
+    on_item_changed(table, changed, now, "store");
+  };
+  apply_read(state, items, read_revision, handlers);
   peers_.tables().record_changes(table, changes, previous_revision);
 }
 
 void RouterNode::apply_changes(const std::string& table,
                                const std::vector<ItemChange>& changes,
                                const std::string& source) {
-  peridotreach::apply_changes(
-      tables_[table], changes,
-      [&](const std::string& changed, const std::string* now) {
-        on_item_changed(table, changed, now, source);
-      });
+  for (const ItemChange& change : changes) see_store_era(change.revision.era);
+  peridotreach::apply_changes(tables_[table], changes,
+                              item_handlers(table, source));
 }
 
 void RouterNode::install_snapshot(const std::string& table,
                                   const SharedTableState& state,
                                   const std::string& source) {
-  replace_table(tables_[table], state,
-                [&](const std::string& changed, const std::string* now) {
-                  on_item_changed(table, changed, now, source);
-                });
+  see_store_era(state.revision.era);
+  replace_table(tables_[table], state, item_handlers(table, source));
 }
 
 void RouterNode::on_item_changed(const std::string& table,
@@ -431,14 +483,19 @@
                                  const std::string& source) {
   if (table == kManifestTable) {
     if (value == nullptr) return;
-    const Result<Manifest> manifest = table_decoders_.manifest(*value);
-    if (!ok(manifest)) {
-      log(LogLevel::kError, "manifest_unreadable",
-          {{"cause", describe(error(manifest))}});
-      return;
+    std::optional<Manifest> decoded =
+        std::exchange(decoded_manifest_, std::nullopt);
+    if (!decoded) {
+      Result<Manifest> manifest = table_decoders_.manifest(*value);
+      if (!ok(manifest)) {
+        log(LogLevel::kError, "manifest_unreadable",
+            {{"cause", describe(error(manifest))}});
+        return;
+      }
+      decoded = std::get<Manifest>(std::move(manifest));
     }
-    post(ManifestReceived{peridotreach::value(manifest),
-                          tables_[table].revision, source});
+    post(
+        ManifestReceived{std::move(*decoded), tables_[table].revision, source});
     return;
   }
   if (table != kEndpointTable) return;
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -58,7 +58,14 @@
   // The same for all items of a table, read at `read_revision`.
   void apply_store_read(const std::string& table,
                         const std::vector<ItemChange>& items,
-                        std::uint64_t read_revision);
+                        const StoreRevision& read_revision);
+
+  // Records that the store answers in this era.
+  void see_store_era(std::uint64_t era);
+
+  // Returns the newest era of the store that this process or a peer has seen; 0
+  // if none is known.
+  std::uint64_t store_era() const { return state_.store_era; }
 
   // Replaces a table with the copy of the peer `source` unless that is older.
   void install_snapshot(const std::string& table, const SharedTableState& state,
@@ -134,6 +141,15 @@
   void apply_changes(const std::string& table,
                      const std::vector<ItemChange>& changes,
                      const std::string& source);
+  // Returns whether both tables have been read in the newest era of the store.
+  bool has_current_tables() const;
+  // Returns how changes of `table` that come from `source` are applied.
+  ItemHandlers item_handlers(const std::string& table,
+                             const std::string& source);
+  // Returns whether an item stays as it is, as `incoming` is older by its
+  // content.
+  bool stays(const std::string& table, const std::string& held,
+             const std::string* incoming);
   void on_item_changed(const std::string& table, const std::string& key,
                        const std::string* value, const std::string& source);
   awaitable<void> copy_generation(CopyGeneration effect, std::string id);
@@ -162,6 +178,9 @@
   TableDecoders table_decoders_;
   RoutingState state_;
   std::map<std::string, SharedTableState> tables_;
+  // The manifest that is about to come into force, as it was decoded to compare
+  // it with the present one.
+  std::optional<Manifest> decoded_manifest_;
   PeerExchange peers_;
   RouterMetrics metrics_;
   std::map<std::uint64_t, std::shared_ptr<RequestExchange>> exchanges_;
--- a/src/peridot-router/shared_table.h
+++ b/src/peridot-router/shared_table.h
@@ -10,12 +10,14 @@
 #include <string>
 #include <vector>
 
+#include "libperidotreach/routing/store_revision.h"
+
 namespace peridotreach {
 
 // Items by key. The copy contains all changes up to `revision`: a process that
 // holds a copy with a revision never needs another one with the same revision.
 struct SharedTableState {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::map<std::string, std::string> items;
 
   bool operator==(const SharedTableState&) const = default;
@@ -25,7 +27,7 @@
 struct ItemChange {
   std::string key;
   std::optional<std::string> value;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
 
   bool operator==(const ItemChange&) const = default;
 };
@@ -34,21 +36,34 @@
 using ItemChangeHandler =
     std::function<void(const std::string& key, const std::string* value)>;
 
+// Returns whether `held` stays in the table in place of `incoming`, which is
+// older by its content; `incoming` is null for a removal. A restored store
+// returns to older contents.
+using ItemPrecedence =
+    std::function<bool(const std::string& key, const std::string& held,
+                       const std::string* incoming)>;
+
+// How a table is changed.
+struct ItemHandlers {
+  ItemChangeHandler on_change;
+  ItemPrecedence stays;
+};
+
 // Applies changes that were received together, in their order. Those up to the
 // table's revision are part of it already, possibly in a newer form, and are
 // ignored.
 void apply_changes(SharedTableState& table,
                    const std::vector<ItemChange>& changes,
-                   const ItemChangeHandler& on_change);
+                   const ItemHandlers& handlers);
 
 // Applies a complete read of the store that began at `read_revision`, unless
 // the table contains newer changes.
 void apply_read(SharedTableState& table, const std::vector<ItemChange>& items,
-                std::uint64_t read_revision,
-                const ItemChangeHandler& on_change);
+                const StoreRevision& read_revision,
+                const ItemHandlers& handlers);
 
 // Replaces the whole table unless `newer` is older than it.
 void replace_table(SharedTableState& table, const SharedTableState& newer,
-                   const ItemChangeHandler& on_change);
+                   const ItemHandlers& handlers);
 
 }  // namespace peridotreach
--- a/src/peridot-router/table_exchange.cc
+++ b/src/peridot-router/table_exchange.cc
@@ -55,13 +55,13 @@
 TableExchange::TableExchange(PeerLink& link, TableHandlers handlers)
     : link_(link), handlers_(std::move(handlers)) {}
 
-std::uint64_t TableExchange::revision(const std::string& table) const {
+const StoreRevision& TableExchange::revision(const std::string& table) const {
   return handlers_.table(table).revision;
 }
 
 void TableExchange::record_changes(const std::string& table,
                                    const std::vector<ItemChange>& changes,
-                                   std::uint64_t table_revision) {
+                                   const StoreRevision& table_revision) {
   add_changes(unpublished_[table], changes, table_revision);
 }
 
@@ -95,8 +95,10 @@
     proto::Envelope message = link_.make_envelope();
     proto::TableChange& change = *message.mutable_change();
     change.set_name(name);
-    change.set_from_revision(unpublished.from_revision);
-    change.set_revision(unpublished.revision);
+    change.set_from_revision(unpublished.from_revision.number);
+    change.set_from_era(unpublished.from_revision.era);
+    change.set_revision(unpublished.revision.number);
+    change.set_era(unpublished.revision.era);
     for (const std::string& key : unpublished.keys) {
       const auto item = table.items.find(key);
       if (item == table.items.end()) {
@@ -118,8 +120,10 @@
 void TableExchange::handle_change(const std::string& sender,
                                   const proto::TableChange& change,
                                   Millis now) {
-  const std::uint64_t own_revision = revision(change.name());
-  if (change.revision() <= own_revision) return;
+  const StoreRevision own_revision = revision(change.name());
+  const StoreRevision from_revision{change.from_era(), change.from_revision()};
+  const StoreRevision new_revision{change.era(), change.revision()};
+  if (new_revision <= own_revision) return;
   const auto peer = link_.view().peers.find(sender);
   const bool forwards = link_.topology().is_first_relay &&
                         peer != link_.view().peers.end() &&
@@ -129,8 +133,8 @@
     *message.mutable_change() = change;
     send_to_zone(message, now);
   }
-  if (change.from_revision() > own_revision) {
-    record_peer_revision(change.name(), change.revision(), sender, now);
+  if (from_revision > own_revision) {
+    record_peer_revision(change.name(), new_revision, sender, now);
     return;
   }
   std::map<std::string, std::string> items;
@@ -140,14 +144,14 @@
   std::vector<ItemChange> changes;
   changes.reserve(items.size());
   for (auto& [key, value] : items)
-    changes.push_back({key, std::move(value), change.revision()});
+    changes.push_back({key, std::move(value), new_revision});
   for (const std::string& key : change.removed())
-    changes.push_back({key, std::nullopt, change.revision()});
+    changes.push_back({key, std::nullopt, new_revision});
   handlers_.on_changes(change.name(), changes, sender);
 }
 
 void TableExchange::record_peer_revision(const std::string& table,
-                                         std::uint64_t peer_revision,
+                                         const StoreRevision& peer_revision,
                                          const std::string& vm, Millis now) {
   peridotreach::record_peer_revision(lags_[table], revision(table), vm,
                                      peer_revision, now);
@@ -169,7 +173,8 @@
   proto::Envelope reply = link_.make_envelope();
   proto::SharedTable& shared = *reply.mutable_table();
   shared.set_name(name);
-  shared.set_revision(table.revision);
+  shared.set_revision(table.revision.number);
+  shared.set_era(table.revision.era);
   for (const auto& [key, value] : table.items)
     encode_item(key, value, *shared.add_items());
   link_.send_to(sender, reply, now);
@@ -178,14 +183,14 @@
 void TableExchange::handle_table(const std::string& sender,
                                  const proto::SharedTable& message) {
   SharedTableState table;
-  table.revision = message.revision();
+  table.revision = {message.era(), message.revision()};
   for (const proto::SharedItem& item : message.items()) {
     if (!decode_item(item, table.items)) return;
   }
   log(LogLevel::kInfo, "table_from_peer",
       {{"table", message.name()},
        {"peer", sender},
-       {"revision", std::to_string(table.revision)}});
+       {"revision", format_revision(table.revision)}});
   handlers_.on_snapshot(message.name(), table, sender);
 }
 
--- a/src/peridot-router/table_exchange.h
+++ b/src/peridot-router/table_exchange.h
@@ -4,6 +4,7 @@
 // the processes that read them from the store, and a process that is behind
 // requests the whole table.
 
+#include <array>
 #include <functional>
 #include <map>
 #include <string>
@@ -28,6 +29,8 @@
 // Names of the shared tables.
 inline constexpr const char* kManifestTable = "manifest";
 inline constexpr const char* kEndpointTable = "endpoints";
+inline constexpr std::array<const char*, 2> kSharedTables = {kManifestTable,
+                                                             kEndpointTable};
 
 // Callbacks for changes that peers sent. `source` is the peer's VM.
 struct TableHandlers {
@@ -51,7 +54,7 @@
   // `table_revision`.
   void record_changes(const std::string& table,
                       const std::vector<ItemChange>& changes,
-                      std::uint64_t table_revision);
+                      const StoreRevision& table_revision);
 
   // Sends the recorded changes to the peers that this process reads the store
   // for.
@@ -66,13 +69,13 @@
 
   // Records the revision of the copy that `vm` has.
   void record_peer_revision(const std::string& table,
-                            std::uint64_t peer_revision, const std::string& vm,
-                            Millis now);
+                            const StoreRevision& peer_revision,
+                            const std::string& vm, Millis now);
 
   // Requests the tables that have been behind a peer's copy for a while.
   void request_missing(Millis now);
 
-  std::uint64_t revision(const std::string& table) const;
+  const StoreRevision& revision(const std::string& table) const;
 
  private:
   // A value as it was last sent in compressed form.
--- a/src/peridot-router/unpublished_changes.cc
+++ b/src/peridot-router/unpublished_changes.cc
@@ -6,7 +6,7 @@
 
 void add_changes(UnpublishedChanges& unpublished,
                  const std::vector<ItemChange>& changes,
-                 std::uint64_t table_revision) {
+                 const StoreRevision& table_revision) {
   if (unpublished.keys.empty()) unpublished.from_revision = table_revision;
   for (const ItemChange& change : changes) {
     unpublished.keys.insert(change.key);
--- a/src/peridot-router/unpublished_changes.h
+++ b/src/peridot-router/unpublished_changes.h
@@ -15,8 +15,8 @@
 // The keys that changed after `from_revision` and up to `revision`. The table
 // itself may be newer, by changes that peers sent.
 struct UnpublishedChanges {
-  std::uint64_t from_revision = 0;
-  std::uint64_t revision = 0;
+  StoreRevision from_revision;
+  StoreRevision revision;
   std::set<std::string> keys;
 
   bool operator==(const UnpublishedChanges&) const = default;
@@ -25,7 +25,7 @@
 // Adds changes that the store sent when the table had `table_revision`.
 void add_changes(UnpublishedChanges& unpublished,
                  const std::vector<ItemChange>& changes,
-                 std::uint64_t table_revision);
+                 const StoreRevision& table_revision);
 
 // Returns whether peers whose table has the same revision as this process's
 // had before can learn something from the changes.
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -168,7 +168,7 @@
   REQUIRE(ok(response));
   const auto items = decode_items(value(response), "events");
   REQUIRE(ok(items));
-  CHECK(value(items).revision == 9);
+  CHECK(value(items).revision.number == 9);
   REQUIRE(value(items).items.size() == 2);
   CHECK(value(items).items[0].value == "node-1");
   CHECK(value(items).items[1].removed);
--- a/tests/routing/flood_simulation.cc
+++ b/tests/routing/flood_simulation.cc
@@ -43,7 +43,7 @@
                            return left.objective < right.objective;
                          })
             ->objective;
-    router.apply(ManifestReceived{manifest, 1, "store"});
+    router.apply(ManifestReceived{manifest, {1, 1}, "store"});
     for (const char* id : {"e1", "e2", "e3"})
       router.apply(EndpointUnlisted{id});
     for (std::size_t zone = 0; zone < cells; ++zone) {
--- a/tests/routing/limit_simulation.cc
+++ b/tests/routing/limit_simulation.cc
@@ -36,7 +36,7 @@
   process.arrived_at.clear();
   process.missed.clear();
   process.state = initial_routing_state({process.vm, "a", RetryBudgetLimits()});
-  apply(process, ManifestReceived{sample_manifest(1), 1, "store"});
+  apply(process, ManifestReceived{sample_manifest(1), {1, 1}, "store"});
   for (std::size_t i = 0; i < endpoints_; ++i) {
     apply(process,
           EndpointListed{sample_endpoint("p" + std::to_string(i), "plain")});
--- a/tests/routing/placement_queue_test.cc
+++ b/tests/routing/placement_queue_test.cc
@@ -182,7 +182,7 @@
   RouterHarness router;
   Manifest manifest = samples::sample_manifest(2);
   manifest.routes.front().first_byte_slo = 1500;
-  router.apply(ManifestReceived{manifest, 1, "store"});
+  router.apply(ManifestReceived{manifest, {1, 1}, "store"});
   PeerReportReceived report;
   report.peer = "vm-3";
   for (const char* id : {"e1", "e2", "e3"})
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -88,23 +88,23 @@
 
 TEST_CASE("an older manifest does not replace a newer one", "[routing]") {
   RouterHarness router;
-  router.apply(ManifestReceived{samples::sample_manifest(7), 1, "store"});
-  router.apply(ManifestReceived{samples::sample_manifest(3), 1, "store"});
+  router.apply(ManifestReceived{samples::sample_manifest(7), {1, 1}, "store"});
+  router.apply(ManifestReceived{samples::sample_manifest(3), {1, 1}, "store"});
   CHECK(router.state.manifest->version == 7);
 }
 
 TEST_CASE("the log tells where a manifest came from and why it was ignored",
           "[routing]") {
   RouterHarness router;
-  const auto taken = only_decision(
-      router.apply(ManifestReceived{samples::sample_manifest(7), 31, "vm-2"}));
+  const auto taken = only_decision(router.apply(
+      ManifestReceived{samples::sample_manifest(7), {1, 31}, "vm-2"}));
   CHECK(taken ==
         std::map<std::string, std::string>{{"decision", "manifest_taken"},
                                            {"version", "7"},
-                                           {"revision", "31"},
+                                           {"revision", "1.31"},
                                            {"source", "vm-2"}});
-  const auto ignored = only_decision(
-      router.apply(ManifestReceived{samples::sample_manifest(3), 31, "store"}));
+  const auto ignored = only_decision(router.apply(
+      ManifestReceived{samples::sample_manifest(3), {1, 31}, "store"}));
   CHECK(ignored.at("decision") == "manifest_ignored");
   CHECK(ignored.at("in_force") == "7");
 }
--- a/tests/routing/router_harness.cc
+++ b/tests/routing/router_harness.cc
@@ -62,7 +62,7 @@
 
 RouterHarness::RouterHarness()
     : state(initial_routing_state({"vm-1", "a", RetryBudgetLimits()})) {
-  apply(ManifestReceived{sample_manifest(1), 1, "store"});
+  apply(ManifestReceived{sample_manifest(1), {1, 1}, "store"});
   for (const char* id : {"e1", "e2", "e3"}) {
     apply(EndpointListed{sample_endpoint(id, "engines")});
   }
--- a/tests/routing/store_recovery_test.cc
+++ b/tests/routing/store_recovery_test.cc
@@ -69,6 +69,67 @@
   CHECK_FALSE(is_available(router, "e3"));
 }
 
+EndpointEntry entry_at(const std::string& id, std::uint64_t sequence) {
+  EndpointEntry entry = sample_endpoint(id, "engines");
+  entry.sequence = sequence;
+  return entry;
+}
+
+TEST_CASE("an entry that a restored store lost may be registered again",
+          "[routing]") {
+  RouterHarness router;
+  router.apply(StoreEraSeen{1});
+  router.advance(5000);
+  router.apply(StoreEraSeen{2});
+  router.apply(EndpointUnlisted{"e1"});
+  router.apply(EndpointUnlisted{"e2"});
+  router.advance(1000);
+  CHECK(is_available(router, "e1"));
+  router.apply(EndpointListed{sample_endpoint("e1", "engines")});
+  router.advance(1000);
+  CHECK(is_available(router, "e1"));
+  CHECK_FALSE(is_available(router, "e2"));
+}
+
+TEST_CASE("an era that is not newer is no restoration", "[routing]") {
+  RouterHarness router;
+  router.apply(StoreEraSeen{3});
+  router.apply(EndpointUnlisted{"e1"});
+  CHECK_FALSE(is_available(router, "e1"));
+  router.advance(5000);
+  router.apply(StoreEraSeen{3});
+  router.apply(StoreEraSeen{2});
+  router.apply(EndpointUnlisted{"e2"});
+  CHECK_FALSE(is_available(router, "e2"));
+}
+
+TEST_CASE("an endpoint that has left does not return with a restored store",
+          "[routing]") {
+  RouterHarness router;
+  router.apply(EndpointListed{entry_at("e1", 5)});
+  router.apply(EndpointUnlisted{"e1"});
+  router.apply(EndpointListed{entry_at("e1", 3)});
+  router.apply(EndpointListed{entry_at("e1", 5)});
+  CHECK_FALSE(is_available(router, "e1"));
+  router.apply(EndpointListed{entry_at("e1", 6)});
+  CHECK(is_available(router, "e1"));
+}
+
+TEST_CASE("an earlier entry does not make a leaving endpoint ready",
+          "[routing]") {
+  RouterHarness router;
+  EndpointEntry leaving = entry_at("e1", 7);
+  leaving.leaving = true;
+  router.apply(EndpointListed{leaving});
+  router.apply(EndpointListed{entry_at("e1", 6)});
+  CHECK_FALSE(is_available(router, "e1"));
+  CHECK(router.state.endpoints.at("e1").entry == leaving);
+  EndpointEntry restarted = entry_at("e1", 1);
+  restarted.started_at_ms = 2;
+  router.apply(EndpointListed{restarted});
+  CHECK(is_available(router, "e1"));
+}
+
 TEST_CASE("an endpoint that announces its leave gets no new requests",
           "[routing]") {
   RouterHarness router;
--- a/tests/routing/tables_test.cc
+++ b/tests/routing/tables_test.cc
@@ -17,30 +17,36 @@
   return {vm, zone, vm + ":1", vm + ":2", incarnation};
 }
 
+// Handlers for a table whose items are ordered by their revisions alone.
+ItemHandlers handlers(ItemChangeHandler on_change) {
+  return {std::move(on_change), [](const std::string&, const std::string&,
+                                   const std::string*) { return false; }};
+}
+
 TEST_CASE("an older table does not replace a newer one", "[tables]") {
   SharedTableState table;
   int changes = 0;
-  const ItemChangeHandler count_change =
-      [&](const std::string&, const std::string*) { changes += 1; };
-  replace_table(table, {7, {{"a", "1"}, {"b", "2"}}}, count_change);
+  const ItemHandlers count_change =
+      handlers([&](const std::string&, const std::string*) { changes += 1; });
+  replace_table(table, {{1, 7}, {{"a", "1"}, {"b", "2"}}}, count_change);
   CHECK(changes == 2);
-  replace_table(table, {5, {{"a", "0"}}}, count_change);
+  replace_table(table, {{1, 5}, {{"a", "0"}}}, count_change);
   CHECK(changes == 2);
   CHECK(table.items.at("a") == "1");
-  replace_table(table, {9, {{"a", "1"}}}, count_change);
+  replace_table(table, {{1, 9}, {{"a", "1"}}}, count_change);
   CHECK(changes == 3);
   CHECK(table.items.size() == 1);
-  CHECK(table.revision == 9);
+  CHECK(table.revision == StoreRevision{1, 9});
 }
 
 TEST_CASE("a late response of the store does not bring back an older item",
           "[tables]") {
   SharedTableState table;
-  const ItemChangeHandler ignore = [](const std::string&, const std::string*) {
-  };
-  replace_table(table, {20, {{"manifest", "version 9"}}}, ignore);
-  apply_changes(table, {{"manifest", "version 4", 15}}, ignore);
-  CHECK(table.revision == 20);
+  const ItemHandlers ignore =
+      handlers([](const std::string&, const std::string*) {});
+  replace_table(table, {{1, 20}, {{"manifest", "version 9"}}}, ignore);
+  apply_changes(table, {{"manifest", "version 4", {1, 15}}}, ignore);
+  CHECK(table.revision == StoreRevision{1, 20});
   CHECK(table.items.at("manifest") == "version 9");
 }
 
@@ -49,58 +55,110 @@
 TEST_CASE("a push to peers does not vouch for changes that it does not contain",
           "[tables]") {
   SharedTableState table;
-  const ItemChangeHandler ignore = [](const std::string&, const std::string*) {
-  };
-  replace_table(table, {10, {{"a", "1"}, {"b", "1"}}}, ignore);
+  const ItemHandlers ignore =
+      handlers([](const std::string&, const std::string*) {});
+  replace_table(table, {{1, 10}, {{"a", "1"}, {"b", "1"}}}, ignore);
   UnpublishedChanges unpublished;
-  const std::vector<ItemChange> from_store = {{"a", "2", 11}};
+  const std::vector<ItemChange> from_store = {{"a", "2", {1, 11}}};
   add_changes(unpublished, from_store, table.revision);
   apply_changes(table, from_store, ignore);
-  apply_changes(table, {{"b", "2", 12}}, ignore);
-  CHECK(unpublished == UnpublishedChanges{10, 11, {"a"}});
+  apply_changes(table, {{"b", "2", {1, 12}}}, ignore);
+  CHECK(unpublished == UnpublishedChanges{{1, 10}, {1, 11}, {"a"}});
   CHECK(is_news(unpublished));
 }
 
 TEST_CASE("a read in several pages does not vouch for changes made meanwhile",
           "[tables]") {
   SharedTableState table;
-  const ItemChangeHandler ignore = [](const std::string&, const std::string*) {
+  const ItemHandlers ignore =
+      handlers([](const std::string&, const std::string*) {});
+  apply_read(table, {{"a", "1", {1, 5}}, {"b", "2", {1, 12}}}, {1, 10}, ignore);
+  CHECK(table.revision == StoreRevision{1, 10});
+  apply_changes(table, {{"a", "2", {1, 11}}, {"b", "2", {1, 12}}}, ignore);
+  CHECK(table == SharedTableState{{1, 12}, {{"a", "2"}, {"b", "2"}}});
+}
+
+TEST_CASE("changes of a restored store are not taken for old ones",
+          "[tables]") {
+  SharedTableState table;
+  std::set<std::string> removed;
+  const ItemHandlers note_removal =
+      handlers([&](const std::string& key, const std::string* value) {
+        if (value == nullptr) removed.insert(key);
+      });
+  replace_table(table, {{1, 100}, {{"a", "1"}, {"b", "1"}}}, note_removal);
+  apply_read(table, {{"a", "1", {2, 40}}}, {2, 90}, note_removal);
+  CHECK(table.revision == StoreRevision{2, 90});
+  CHECK(removed == std::set<std::string>{"b"});
+  apply_changes(table, {{"a", "2", {2, 91}}}, note_removal);
+  CHECK(table.items.at("a") == "2");
+  apply_changes(table, {{"a", "late", {1, 101}}}, note_removal);
+  replace_table(table, {{1, 200}, {{"a", "late"}}}, note_removal);
+  CHECK(table == SharedTableState{{2, 91}, {{"a", "2"}}});
+}
+
+TEST_CASE("a restored store does not bring back older contents", "[tables]") {
+  SharedTableState table;
+  int changes = 0;
+  ItemHandlers by_content =
+      handlers([&](const std::string&, const std::string*) { changes += 1; });
+  by_content.stays = [](const std::string&, const std::string& held,
+                        const std::string* incoming) {
+    return incoming == nullptr || *incoming < held;
   };
-  apply_read(table, {{"a", "1", 5}, {"b", "2", 12}}, 10, ignore);
-  CHECK(table.revision == 10);
-  apply_changes(table, {{"a", "2", 11}, {"b", "2", 12}}, ignore);
-  CHECK(table == SharedTableState{12, {{"a", "2"}, {"b", "2"}}});
+  replace_table(table, {{1, 100}, {{"a", "7"}, {"b", "3"}}}, by_content);
+  changes = 0;
+  apply_read(table, {{"a", "5", {2, 40}}}, {2, 90}, by_content);
+  apply_changes(table, {{"a", "6", {2, 91}}}, by_content);
+  CHECK(changes == 0);
+  CHECK(table == SharedTableState{{2, 91}, {{"a", "7"}, {"b", "3"}}});
+  apply_changes(table, {{"a", "8", {2, 92}}}, by_content);
+  CHECK(table.items.at("a") == "8");
+}
+
+TEST_CASE("a table of an earlier era of the store is requested", "[tables]") {
+  TableLag lag;
+  record_peer_revision(lag, {1, 100}, "b1", {2, 12}, 1000);
+  CHECK(take_due_request(lag, {1, 100}, 1200) == "b1");
+  record_peer_revision(lag, {2, 12}, "c1", {1, 150}, 1300);
+  CHECK_FALSE(take_due_request(lag, {2, 12}, 2500));
+}
+
+TEST_CASE("pushed changes of a restored store are news to peers", "[tables]") {
+  UnpublishedChanges unpublished;
+  add_changes(unpublished, {{"a", "2", {2, 12}}}, {1, 100});
+  CHECK(is_news(unpublished));
 }
 
 TEST_CASE("a table that is behind is requested after one report of a newer one",
           "[tables]") {
   TableLag lag;
-  record_peer_revision(lag, 10, "b1", 12, 1000);
-  CHECK_FALSE(take_due_request(lag, 10, 1100));
-  CHECK(take_due_request(lag, 10, 1200) == "b1");
-  CHECK_FALSE(take_due_request(lag, 10, 1300));
-  record_peer_revision(lag, 10, "c1", 12, 1500);
-  CHECK(take_due_request(lag, 10, 1900) == "c1");
-  CHECK_FALSE(take_due_request(lag, 12, 2600));
+  record_peer_revision(lag, {1, 10}, "b1", {1, 12}, 1000);
+  CHECK_FALSE(take_due_request(lag, {1, 10}, 1100));
+  CHECK(take_due_request(lag, {1, 10}, 1200) == "b1");
+  CHECK_FALSE(take_due_request(lag, {1, 10}, 1300));
+  record_peer_revision(lag, {1, 10}, "c1", {1, 12}, 1500);
+  CHECK(take_due_request(lag, {1, 10}, 1900) == "c1");
+  CHECK_FALSE(take_due_request(lag, {1, 12}, 2600));
   CHECK(lag == TableLag{});
 }
 
 TEST_CASE("an empty table is requested at once, a vanished peer is not asked",
           "[tables]") {
   TableLag lag;
-  record_peer_revision(lag, 0, "b1", 12, 1000);
-  CHECK(take_due_request(lag, 0, 1000) == "b1");
-  CHECK_FALSE(take_due_request(lag, 0, 3100));
-  record_peer_revision(lag, 12, "b1", 12, 3200);
+  record_peer_revision(lag, {}, "b1", {1, 12}, 1000);
+  CHECK(take_due_request(lag, {}, 1000) == "b1");
+  CHECK_FALSE(take_due_request(lag, {}, 3100));
+  record_peer_revision(lag, {1, 12}, "b1", {1, 12}, 3200);
   CHECK(lag == TableLag{});
 }
 
 TEST_CASE("a table that still advances is not requested", "[tables]") {
   TableLag lag;
-  record_peer_revision(lag, 10, "b1", 14, 1000);
-  CHECK_FALSE(take_due_request(lag, 12, 1250));
-  CHECK_FALSE(take_due_request(lag, 13, 1400));
-  CHECK(take_due_request(lag, 13, 1600) == "b1");
+  record_peer_revision(lag, {1, 10}, "b1", {1, 14}, 1000);
+  CHECK_FALSE(take_due_request(lag, {1, 12}, 1250));
+  CHECK_FALSE(take_due_request(lag, {1, 13}, 1400));
+  CHECK(take_due_request(lag, {1, 13}, 1600) == "b1");
 }
 
 // A router that was served by peers becomes the one that reads the store. What
@@ -109,17 +167,17 @@
           "[tables]") {
   SharedTableState table;
   std::set<std::string> removed;
-  const ItemChangeHandler note_removal = [&](const std::string& key,
-                                             const std::string* value) {
-    if (value == nullptr) removed.insert(key);
-  };
-  replace_table(table, {7, {{"gone", "1"}, {"stays", "2"}}}, note_removal);
+  const ItemHandlers note_removal =
+      handlers([&](const std::string& key, const std::string* value) {
+        if (value == nullptr) removed.insert(key);
+      });
+  replace_table(table, {{1, 7}, {{"gone", "1"}, {"stays", "2"}}}, note_removal);
   // A peer may have sent changes that are newer than the read.
-  apply_read(table, {{"stays", "2", 3}}, 6, note_removal);
+  apply_read(table, {{"stays", "2", {1, 3}}}, {1, 6}, note_removal);
   CHECK(removed.empty());
-  apply_read(table, {{"stays", "2", 3}}, 9, note_removal);
+  apply_read(table, {{"stays", "2", {1, 3}}}, {1, 9}, note_removal);
   CHECK(removed == std::set<std::string>{"gone"});
-  CHECK(table.revision == 9);
+  CHECK(table.revision == StoreRevision{1, 9});
 }
 
 TEST_CASE("callers get the addresses of live peers in their zone", "[peers]") {
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -17,6 +17,7 @@
         self.leases = {}
         self.history = []
         self.oldest = 1
+        self.era = 1
         self.changed = asyncio.Event()
         # Addresses that are listed in place of those that were registered.
         self.renamed = {}
@@ -42,6 +43,19 @@
         self.history.clear()
         self.oldest = self.revision + 1
 
+    def copy(self):
+        """Returns a copy to which the store may be restored."""
+        return self.revision, dict(self.items), dict(self.leases)
+
+    def restore(self, copy):
+        """Returns to a copy: what was written since is lost."""
+        self.revision, self.items, self.leases = (copy[0], dict(copy[1]),
+                                                  dict(copy[2]))
+        self.era += 1
+        self.forget_history()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _note(self, event):
         self.history.append(event)
         self.changed.set()
@@ -67,7 +81,8 @@
             while (request := await read_message(reader)) is not None:
                 status, body = await self._answer(request)
                 writer.write(encode(f"HTTP/1.1 {status} X",
-                                    [("Content-Type", "application/json")],
+                                    [("Content-Type", "application/json"),
+                                     ("Store-Era", str(self.era))],
                                     json.dumps(body).encode()))
                 await writer.drain()
         except (ConnectionError, OSError):
@@ -104,6 +119,12 @@
             self._end(int(lease))
             return 200, {}
         if url.path == "/api/kv-txn":
+            for row in body["expect_rev"]:
+                held = self.items.get(row["key"], {}).get("rev", 0)
+                if held != row["rev"]:
+                    return 412, {"items": []}
+            for key in body["remove"]:
+                self.remove(key)
             for put in body["puts"]:
                 if put["key"].startswith(("op/", "servers/")):
                     return 403, {}
@@ -120,7 +141,7 @@
 
     async def _watch(self, query):
         after = int(query["after"])
-        if after + 1 < self.oldest:
+        if after + 1 < self.oldest or after > self.revision:
             return 410, {}
         wait = int(query["wait_ms"]) / 1000
         until = asyncio.get_running_loop().time() + wait
