Send nothing new to endpoints that say in an answer that they leave

What callers saw: requests went to an endpoint until its entry in the store changed, though its answers already named its leaving. Cause: only entries and polled reports were read. Change: the notice of an answer counts like one of the entry, is passed on to all VMs and holds until the endpoint starts anew, also if its entry lapses and returns as ready. A generation is not moved to a leaving target that a coordinator has chosen meanwhile. Evidence: store_recovery_test.cc, decoders_test.cc; the event did not exist before, so the tests do not build on the code before.

--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -263,7 +263,8 @@
 void on_target_chosen(const RoutingContext& context,
                       std::uint64_t request_number, RequestState& request,
                       const std::string& target) {
-  if (find_endpoint(context, target) == nullptr) {
+  const EndpointState* endpoint = find_endpoint(context, target);
+  if (endpoint == nullptr || endpoint->leaving_since != 0) {
     postpone_move(context, request_number, request);
     return;
   }
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -156,6 +156,11 @@
   Millis requested_at = 0;
 };
 
+// Tells peers that an endpoint has announced that it is leaving.
+struct AnnounceEndpointLeaving {
+  std::string endpoint;
+};
+
 // Releases an unused copy. Sent to the source and to the target.
 struct FreeCopy {
   std::string address;
@@ -181,6 +186,7 @@
                  FinishStream, SendLocalResponse, AbortResponse, CopyGeneration,
                  RequestCopyLease, ReleaseCopyLease, RequestPlacement,
                  AnswerPlacement, ForwardPlacement, RequestPermits,
-                 AnswerPermits, FreeCopy, RecordDecision>;
+                 AnswerPermits, AnnounceEndpointLeaving, FreeCopy,
+                 RecordDecision>;
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -114,6 +114,8 @@
   // Requests per second that it takes from all processes together; none if it
   // names no limit.
   std::optional<double> requests_per_second;
+  // It is about to leave.
+  bool is_leaving = false;
 
   bool operator==(const EndpointNotice&) const = default;
 };
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -82,7 +82,9 @@
   endpoint.entry_missing_since = 0;
   endpoint.warm_up_until = state.now + entry.remaining_warm_up;
   if (entry.leaving) mark_leaving(context, endpoint, "notice");
-  if (!entry.leaving && is_relisted) endpoint.leaving_since = 0;
+  const bool is_back =
+      is_relisted && !entry.leaving && !endpoint.announced_leaving;
+  if (is_back) endpoint.leaving_since = 0;
   plan_moves(context);
 }
 
@@ -127,15 +129,26 @@
   }
 }
 
-void apply(const RoutingContext& context, const EndpointLeaving& event) {
-  EndpointState* endpoint = find_endpoint(context, event.id);
-  if (endpoint == nullptr) return;
+// Records that an endpoint said that it is leaving. Returns whether that was
+// not known.
+bool announce_leaving(const RoutingContext& context, const std::string& id) {
+  EndpointState* endpoint = find_endpoint(context, id);
+  if (endpoint == nullptr) return false;
+  const bool was_known = std::exchange(endpoint->announced_leaving, true);
   mark_leaving(context, *endpoint, "announced by the endpoint");
   plan_moves(context);
+  return !was_known;
+}
+
+void apply(const RoutingContext& context, const EndpointLeaving& event) {
+  announce_leaving(context, event.id);
 }
 
 void apply(const RoutingContext& context, const EndpointAnswered& event) {
   on_endpoint_answered(context, event);
+  if (!event.notice.is_leaving) return;
+  if (announce_leaving(context, event.endpoint))
+    context.effects.push_back(AnnounceEndpointLeaving{event.endpoint});
 }
 
 void apply(const RoutingContext& context,
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -44,6 +44,8 @@
   bool was_removed = false;
   // When it was first known to be leaving; 0 if it is not.
   Millis leaving_since = 0;
+  // Whether it said so itself, which holds until it starts anew.
+  bool announced_leaving = false;
   Millis warm_up_until = 0;
   // Decaying share of failures among recent answers, from 0 to 1.
   double failure_rate = 0;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -677,6 +677,10 @@
   peers_.coordination().answer_permits(effect, monotonic_now());
 }
 
+void RouterNode::perform(const AnnounceEndpointLeaving& effect) {
+  peers_.announce_endpoint_leaving(effect.endpoint, monotonic_now());
+}
+
 void RouterNode::perform(const FreeCopy& effect) {
   co_spawn(io_, free_copy(effect), asio::detached);
 }
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -133,6 +133,7 @@
   void perform(const ForwardPlacement& effect);
   void perform(const RequestPermits& effect);
   void perform(const AnswerPermits& effect);
+  void perform(const AnnounceEndpointLeaving& effect);
   void perform(const FreeCopy& effect);
   void perform(const RecordDecision& effect);
 
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -294,6 +294,17 @@
             .has_content_encoding);
 }
 
+TEST_CASE("decode_response_head reads whether an endpoint leaves",
+          "[platform]") {
+  const WireFormat format = make_wire_format();
+  const auto is_leaving = [&](const std::vector<HttpHeader>& headers) {
+    return format.decode_response_head(headers).notice.is_leaving;
+  };
+  CHECK(is_leaving({{"Server-Leaving", "1"}}));
+  CHECK_FALSE(is_leaving({{"Server-Leaving", "0"}}));
+  CHECK_FALSE(is_leaving({}));
+}
+
 TEST_CASE("decode_response_head reads the limit that an endpoint names",
           "[platform]") {
   const auto limit_of = [](const std::string& text) {
--- a/tests/routing/routing_property_test.cc
+++ b/tests/routing/routing_property_test.cc
@@ -221,6 +221,7 @@
     const char* const ids[] = {"e1", "e2", "e3", "p1", "p2", "none"};
     const char* const id = ids[random_below(6)];
     EndpointNotice notice;
+    notice.is_leaving = random_below(6) == 0;
     if (random_below(2) == 0)
       notice.requests_per_second = static_cast<double>(random_below(9)) / 2;
     if (random_below(3) == 0) {
@@ -368,6 +369,9 @@
   void check_effect(const AnswerPermits& effect) {
     CHECK((effect.grant.permits > 0 || effect.grant.retry_after > 0));
   }
+  void check_effect(const AnnounceEndpointLeaving& effect) {
+    CHECK(router_.state.endpoints.at(effect.endpoint).leaving_since != 0);
+  }
   void check_effect(const ForwardPlacement&) {}
   void check_effect(const AnswerPlacement&) {}
   void check_effect(const RequestCopyLease&) {}
--- a/tests/routing/store_recovery_test.cc
+++ b/tests/routing/store_recovery_test.cc
@@ -69,8 +69,9 @@
   CHECK_FALSE(is_available(router, "e3"));
 }
 
-EndpointEntry entry_at(const std::string& id, std::uint64_t sequence) {
-  EndpointEntry entry = sample_endpoint(id, "engines");
+EndpointEntry entry_at(const std::string& id, std::uint64_t sequence,
+                       const std::string& service = "engines") {
+  EndpointEntry entry = sample_endpoint(id, service);
   entry.sequence = sequence;
   return entry;
 }
@@ -139,6 +140,45 @@
   CHECK(router.state.endpoints.at("e1").listed);
 }
 
+TEST_CASE("an endpoint that says in an answer that it leaves gets no requests",
+          "[routing]") {
+  RouterHarness router;
+  const auto effects =
+      router.apply(EndpointAnswered{"p1", {std::nullopt, true}});
+  CHECK(samples::effects_of<AnnounceEndpointLeaving>(effects).size() == 1);
+  CHECK(samples::effects_of<AnnounceEndpointLeaving>(
+            router.apply(EndpointAnswered{"p1", {std::nullopt, true}}))
+            .empty());
+  for (int i = 0; i < 20; ++i) {
+    const auto request = router.send_request("/entry/1");
+    CHECK(router.last_attempt(request).endpoint == "p2");
+  }
+  // Neither a ready entry nor one that is registered again takes that back.
+  router.apply(EndpointListed{entry_at("p1", 8, "plain")});
+  router.apply(EndpointUnlisted{"p1"});
+  router.apply(EndpointListed{entry_at("p1", 9, "plain")});
+  CHECK_FALSE(is_available(router, "p1"));
+  EndpointEntry restarted = entry_at("p1", 1, "plain");
+  restarted.started_at_ms = 2;
+  router.apply(EndpointListed{restarted});
+  CHECK(is_available(router, "p1"));
+}
+
+TEST_CASE("a generation does not move to an endpoint that leaves",
+          "[routing]") {
+  RouterHarness router;
+  const auto request = router.send_request("/stream/1");
+  const std::string source = router.last_attempt(request).endpoint;
+  router.apply(StreamOpened{request, 1});
+  router.apply(StreamEventReceived{request, 1, 0});
+  router.apply(EndpointLeaving{source});
+  router.apply(CopyLeaseGranted{request, source});
+  const std::string target = source == "e1" ? "e2" : "e1";
+  router.apply(EndpointLeaving{target});
+  const auto effects = router.apply(PlacementAnswered{request, target, 0});
+  CHECK(samples::effects_of<CopyGeneration>(effects).empty());
+}
+
 TEST_CASE("changed retry limits apply to the next retry", "[routing]") {
   RouterHarness router;
   RetryBudgetLimits no_retries = router.state.config.retry_limits;
