Honour the Retry-After of endpoints that reject requests

What callers saw: requests went on to an endpoint that had answered 503 with Retry-After, and were rejected there. Cause: the header of a rejection was not read. Change: the endpoint gets nothing from this VM for so long (60 s at the most). Placement coordinators are told which endpoints the asking VM avoids, also for ejected ones, and asked again at once if they granted one. A call without any other endpoint is rejected with the time at which the next one accepts again. Evidence: endpoint_limits_test.cc, decoders_test.cc; neither builds on the code before.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -162,7 +162,7 @@
 
 bool accepts_new_requests(const EndpointState& endpoint, Millis now) {
   return endpoint.listed && endpoint.leaving_since == 0 &&
-         endpoint.ejected_until <= now;
+         endpoint.ejected_until <= now && endpoint.declined_until <= now;
 }
 
 std::string choose_endpoint(const RoutingState& state,
@@ -213,6 +213,30 @@
   return earliest;
 }
 
+std::optional<Millis> next_acceptance_at(const RoutingState& state,
+                                         const EndpointCriteria& criteria) {
+  std::optional<Millis> earliest;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    if (endpoint.declined_until <= state.now) continue;
+    if (endpoint.entry.service != criteria.service) continue;
+    if (!endpoint.listed || endpoint.leaving_since != 0) continue;
+    if (!earliest || endpoint.declined_until < *earliest)
+      earliest = endpoint.declined_until;
+  }
+  return earliest;
+}
+
+std::vector<std::string> avoided_endpoints(const RoutingState& state,
+                                           const std::string& service) {
+  std::vector<std::string> avoided;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    if (endpoint.entry.service != service) continue;
+    if (std::max(endpoint.ejected_until, endpoint.declined_until) > state.now)
+      avoided.push_back(id);
+  }
+  return avoided;
+}
+
 double failure_rate_at(const EndpointState& endpoint, Millis now) {
   const auto age = static_cast<double>(
       std::max<Millis>(0, now - endpoint.failure_rate_updated_at));
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libperidotreach/routing/routing_state.h"
 
@@ -68,7 +69,18 @@
 std::optional<Millis> next_permit_at(const RoutingState& state,
                                      const EndpointCriteria& criteria);
 
-// Returns whether the endpoint is listed, not leaving and not ejected.
+// Returns when the next of the endpoints that want no requests for a while
+// accepts them again; none if there is no such endpoint.
+std::optional<Millis> next_acceptance_at(const RoutingState& state,
+                                         const EndpointCriteria& criteria);
+
+// Returns the endpoints of a service that this process sends no requests to for
+// a while, as they are ejected or want none. Other processes do not know that.
+std::vector<std::string> avoided_endpoints(const RoutingState& state,
+                                           const std::string& service);
+
+// Returns whether the endpoint is listed, not leaving, not ejected, and has not
+// asked for a pause.
 bool accepts_new_requests(const EndpointState& endpoint, Millis now);
 
 // Returns the failure rate of an endpoint, decayed to `now`.
--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -110,6 +110,7 @@
                                      state.config.zone,
                                      time_until_late(state, request) == 0};
   requirements.time_until_late = time_until_late(state, request);
+  requirements.excluded_endpoints = avoided_endpoints(state, request.service);
   if (request.placement_deadline != 0)
     requirements.wait_left =
         std::max<Millis>(1, request.placement_deadline - state.now);
@@ -185,7 +186,11 @@
   const EndpointState* endpoint = find_endpoint(context, event.endpoint);
   const bool is_usable =
       endpoint != nullptr && accepts_new_requests(*endpoint, context.state.now);
-  if (!is_usable) return;
+  if (!is_usable) {
+    // The coordinator does not know that yet. It is asked again at once.
+    request->placement_requested_at = 0;
+    return;
+  }
   start_attempt(context, event.request, *request, event.endpoint, {});
 }
 
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -109,6 +109,8 @@
   requirements.is_move = true;
   requirements.excluded_endpoints = {request.move.full_targets.begin(),
                                      request.move.full_targets.end()};
+  for (std::string& id : avoided_endpoints(state, request.service))
+    requirements.excluded_endpoints.push_back(std::move(id));
   requirements.excluded_endpoints.push_back(request.endpoint);
   return requirements;
 }
--- a/src/libperidotreach/routing/limited_endpoints.cc
+++ b/src/libperidotreach/routing/limited_endpoints.cc
@@ -71,6 +71,12 @@
   endpoint->own_limit = {event.notice.requests_per_second, context.state.now};
   observe_limit(context, *endpoint, endpoint->own_limit,
                 context.state.config.vm);
+  if (event.notice.retry_after == 0) return;
+  endpoint->declined_until = context.state.now + event.notice.retry_after;
+  record_decision(
+      context, "endpoint_declines", 0,
+      {{"endpoint", event.endpoint},
+       {"retry_after_ms", std::to_string(event.notice.retry_after)}});
 }
 
 void on_permits_requested(const RoutingContext& context,
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -97,21 +97,28 @@
   return permit_at && *permit_at < request.permit_deadline;
 }
 
-// Rejects a request for which there is no endpoint. If endpoints are limited,
-// its caller is told to come back when the next request may be sent to one.
+// Rejects a request for which there is no endpoint. If endpoints are limited or
+// have asked for a pause, its caller is told to come back when the next request
+// may be sent to one.
 void reject_unplaced(const RoutingContext& context,
                      std::uint64_t request_number,
                      const EndpointCriteria& criteria) {
   const RoutingState& state = context.state;
   const std::optional<Millis> permit_at = next_permit_at(state, criteria);
-  if (!permit_at) {
-    fail_request(context, request_number, kHttpServiceUnavailable,
-                 random_retry_after(state), "no_endpoint");
-    return;
+  const std::optional<Millis> acceptance_at =
+      next_acceptance_at(state, criteria);
+  Millis wait = 0;
+  const char* reason = "no_endpoint";
+  if (permit_at) {
+    wait = *permit_at - state.now;
+    reason = "endpoint_limits";
+  }
+  if (acceptance_at && (!permit_at || *acceptance_at < *permit_at)) {
+    wait = *acceptance_at - state.now;
+    reason = "endpoints_decline";
   }
   fail_request(context, request_number, kHttpServiceUnavailable,
-               *permit_at - state.now + random_retry_after(state),
-               "endpoint_limits");
+               wait + random_retry_after(state), reason);
 }
 
 // Sends the request to the best endpoint, or rejects it as not run. Unless the
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -116,6 +116,9 @@
   std::optional<double> requests_per_second;
   // It is about to leave.
   bool is_leaving = false;
+  // How long it wants no requests from this process after a rejection; 0 if it
+  // does not say.
+  Millis retry_after = 0;
 
   bool operator==(const EndpointNotice&) const = default;
 };
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -54,6 +54,8 @@
   Millis transport_failures_updated_at = 0;
   std::uint32_t consecutive_connect_failures = 0;
   Millis ejected_until = 0;
+  // Until when it wants no requests from this process.
+  Millis declined_until = 0;
   // The newest limit that is known, the one that this process observed itself,
   // and when the endpoint last ceased to name one; 0 if it never did.
   EndpointLimit limit;
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -24,6 +24,7 @@
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
 constexpr unsigned kMisdirectedStatus = 421;
+constexpr unsigned kUnavailableStatus = 503;
 
 bool is_success(unsigned status) { return status >= 200 && status < 300; }
 
@@ -117,7 +118,11 @@
   const bool is_from_endpoint =
       head_outcome == AttemptOutcome::kCompleteResponse ||
       head_outcome == AttemptOutcome::kNotRun;
-  if (is_from_endpoint) post(EndpointAnswered{params.endpoint, info.notice});
+  if (is_from_endpoint) {
+    EndpointNotice notice = info.notice;
+    if (status != kUnavailableStatus) notice.retry_after = 0;
+    post(EndpointAnswered{params.endpoint, notice});
+  }
   if (head_outcome != AttemptOutcome::kCompleteResponse)
     co_return make_ended(attempt, head_outcome, status);
   attempt.response.status = status;
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -305,6 +305,21 @@
   CHECK_FALSE(is_leaving({}));
 }
 
+TEST_CASE("decode_response_head reads for how long an endpoint declines",
+          "[platform]") {
+  const WireFormat format = make_wire_format();
+  const auto retry_after = [&](const std::string& text) {
+    return format.decode_response_head({{"Retry-After", text}})
+        .notice.retry_after;
+  };
+  CHECK(retry_after("2") == 2000);
+  CHECK(retry_after("0.25") == 250);
+  CHECK(retry_after("1e6") == 60000);
+  for (const char* invalid :
+       {"", "-1", "soon", "Wed, 21 Oct 2015 07:28:00 GMT"})
+    CHECK(retry_after(invalid) == 0);
+}
+
 TEST_CASE("decode_response_head reads the limit that an endpoint names",
           "[platform]") {
   const auto limit_of = [](const std::string& text) {
--- a/tests/routing/endpoint_limits_test.cc
+++ b/tests/routing/endpoint_limits_test.cc
@@ -217,6 +217,42 @@
       router.state.endpoints.at(asked.front().endpoint).permits, router.now));
 }
 
+TEST_CASE("an endpoint that declines requests for a time gets none",
+          "[limits]") {
+  RouterHarness router;
+  router.apply(EndpointAnswered{"p1", {std::nullopt, false, 2000}});
+  for (int i = 0; i < 20; ++i) {
+    const auto request = router.send_request("/entry/1");
+    CHECK(router.last_attempt(request).endpoint == "p2");
+  }
+  router.apply(EndpointAnswered{"p2", {std::nullopt, false, 900}});
+  router.send_request("/entry/1");
+  const auto rejected = effects_of<SendLocalResponse>(router.effects);
+  REQUIRE(rejected.size() == 1);
+  CHECK(rejected.front().reason == "endpoints_decline");
+  CHECK(rejected.front().retry_after >= 900);
+  CHECK(rejected.front().retry_after < 2000);
+  router.advance(1000);
+  const auto request = router.send_request("/entry/1");
+  CHECK(router.last_attempt(request).endpoint == "p2");
+}
+
+TEST_CASE("a placement coordinator is asked for endpoints that do not decline",
+          "[limits]") {
+  RouterHarness router;
+  router.apply(EndpointAnswered{"e1", {std::nullopt, false, 3000}});
+  const auto request = router.send_request_unplaced("/stream/1");
+  auto asked = effects_of<RequestPlacement>(router.effects);
+  REQUIRE(asked.size() == 1);
+  CHECK(asked.front().requirements.excluded_endpoints ==
+        std::vector<std::string>{"e1"});
+  // A coordinator may have granted it before.
+  router.apply(PlacementAnswered{request, "e1", 0});
+  CHECK(router.last_attempt(request).endpoint.empty());
+  asked = effects_of<RequestPlacement>(router.advance(40));
+  CHECK(asked.size() == 1);
+}
+
 TEST_CASE("a limit ends when the endpoint no longer names it", "[limits]") {
   RouterHarness router;
   name_limit(router, "p1", 1.0);
