--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -507,6 +507,8 @@
   if (!ok(entry)) {
     log(LogLevel::kWarning, "endpoint_entry_unreadable",
         {{"key", key}, {"cause", describe(error(entry))}});
+    // It names no endpoint to use, whatever it named before.
+    post(EndpointUnlisted{key});
     return;
   }
   post(EndpointListed{peridotreach::value(entry)});
--- a/src/runtime/json.cc
+++ b/src/runtime/json.cc
@@ -1,5 +1,6 @@
 #include "runtime/json.h"
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <cstdlib>
 
@@ -45,7 +46,10 @@
   if (found->is_uint64()) {
     return static_cast<std::int64_t>(found->as_uint64());
   }
-  return static_cast<std::int64_t>(double_member(object, name));
+  // Doubles outside of this range cannot be converted.
+  constexpr double kLimit = 9.2e18;
+  const double number = double_member(object, name);
+  return static_cast<std::int64_t>(std::clamp(number, -kLimit, kLimit));
 }
 
 bool bool_member(const json::object& object, const char* name) {
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -111,6 +111,16 @@
   CHECK_FALSE(with("24", "\"24\""));
   CHECK_FALSE(with("24", "2.5"));
   CHECK_FALSE(with("127.0.0.5:8080", "nowhere"));
+  for (const char* address :
+       {"nowhere:80", "127.0.0.5:0", "127.0.0.5:99999", "127.0.0.5:-1"})
+    CHECK_FALSE(with("127.0.0.5:8080", address));
+  for (const char* number : {"-1", "5000000000", "1e300", "1e400",
+                             "18446744073709551616", "99999999999999999999"})
+    CHECK_FALSE(with("24", number));
+  for (const char* number : {"-5", "1e300", "\"x\"", "1.5"}) {
+    CHECK_FALSE(with("1783720206030", number));
+    CHECK_FALSE(with("\"seq\":4", "\"seq\":" + std::string(number)));
+  }
   CHECK_FALSE(with("\"engines\"", "null"));
   CHECK_FALSE(with("1783720206030", "\"x\""));
   fuzz(valid, [](const std::string& text) { decode_endpoint("i", text); });
--- a/tests/system/router_bench.py
+++ b/tests/system/router_bench.py
@@ -46,13 +46,16 @@
     def __init__(self, net, folder, kind, serve):
         self.net, self.folder, self.kind, self.serve = net, folder, kind, serve
         self.router = None
+        self.store = Store()
+        self.address = ""
 
     async def start(self):
         """Starts everything and waits until the router is ready."""
-        store = Store()
+        store = self.store
         server = await asyncio.start_server(store.serve, f"{self.net}.200", 0)
         place = "%s:%d" % server.sockets[0].getsockname()[:2]
         address = f"{self.net}.100:{free_port(self.net + '.100')}"
+        self.address = address
         await asyncio.start_server(self.serve, *address.rsplit(":", 1))
         store.put("op/config", manifest(self.kind))
         store.put("servers/i-1", json.dumps({
