Test heads of answers that end early

What operators of similar systems saw: a 200 with an empty or short body, framed as whole, from a head that was cut short.

--- a/tests/system/answer_framing_test.py
+++ b/tests/system/answer_framing_test.py
@@ -35,17 +35,55 @@
     "chunks-cut": ("stream", CHUNKED, b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS),
                    False, None),
 }
+# Heads that end early: in the status line, in the name or value of a header,
+# before the empty line and inside of it.
+HEAD = ("HTTP/1.1 200 OK\r\nPeridotreach-Request-Id: {identity}\r\n"
+        f"{STAMP[0]}: {STAMP[1]}\r\nContent-Type: text/event-stream\r\n"
+        "Content-Length: 27\r\n\r\n")
+HEAD_ENDS = ["HTTP/1.1 2", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", STAMP[0],
+             f"{STAMP[0]}: {STAMP[1]}\r\n", "text/event", "Content-Length: ",
+             "Content-Length: 2", "Content-Length: 27", "Content-Length: 27\r\n",
+             "Content-Length: 27\r\n\r"]
 # Lets the router read what was sent before a reset discards it.
 RESET_DELAY_S = 0.1
 
 
+async def serve_cut_head(message, name, writer):
+    """Sends a part of a head and closes, or resets, the connection."""
+    _, number, how = name.split("-")
+    head = HEAD.format(identity=message.get("peridotreach-request-id"))
+    end = HEAD_ENDS[int(number)]
+    writer.write(head[:head.index(end) + len(end)].encode())
+    await writer.drain()
+    if how == "reset":
+        await asyncio.sleep(RESET_DELAY_S)
+        writer.transport.abort()
+        return
+    writer.close()
+
+
+async def play_cut_head(bench, name):
+    """Plays one cut head. Returns what went wrong."""
+    reader, writer = await bench.connect()
+    writer.write(request("/entry/" + name))
+    answer = await asyncio.wait_for(read_message(reader), 5)
+    writer.close()
+    if answer is not None and answer.status == 502:
+        return []
+    return [f"{name}: the caller got {answer and answer.status}"]
+
+
 async def serve(reader, writer):
     """Answers one request as the case says that its path names."""
     message = await read_message(reader)
     if message is None:
         writer.close()
         return
-    kind, headers, body, is_reset, _ = CASES[message.target.rpartition("/")[2]]
+    name = message.target.rpartition("/")[2]
+    if name.startswith("head-"):
+        await serve_cut_head(message, name, writer)
+        return
+    kind, headers, body, is_reset, _ = CASES[name]
     if kind == "stream":
         headers += "Content-Type: text/event-stream\r\n"
     identity = message.get("peridotreach-request-id")
@@ -86,6 +124,9 @@
     for name, case in CASES.items():
         if case[0] == kind:
             faults += await play(bench, name)
+    for number in range(len(HEAD_ENDS)):
+        for how in ("close", "reset"):
+            faults += await play_cut_head(bench, f"head-{number}-{how}")
     await bench.stop()
     return faults
 
@@ -96,5 +137,5 @@
         found += asyncio.run(run(directory, route_kind))
 for fault in found:
     print(fault)
-print(f"{len(CASES)} cases, {len(found)} faults")
+print(f"{len(CASES)} cases, {len(HEAD_ENDS)} cut heads, {len(found)} faults")
 sys.exit(1 if found else 0)
