Trust a refusal only if it is of the request that was sent

What operators of similar systems saw: callers were told 'not run' for requests that had run, as an endpoint wrote an earlier refusal once more on a kept connection. Here each request has a connection of its own, so that a repeated refusal reaches no other request. But a refusal or misdirection that names another request was believed, and the caller was told 503. Cause: 421 and the statement 'not run' were checked before the id. Change: the id goes first; such an answer is broken, 502.

--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -37,11 +37,12 @@
 // it; kCompleteResponse if the head is valid and the body can be read.
 AttemptOutcome check_response_head(const ResponseInfo& info,
                                    const std::string& id, unsigned status) {
-  if (status == kMisdirectedStatus) return AttemptOutcome::kMisdirected;
-  if (info.not_run) return AttemptOutcome::kNotRun;
+  // A refusal of another request says nothing about this one.
   if (!info.request_id.empty() && info.request_id != id) {
     return AttemptOutcome::kBroken;
   }
+  if (status == kMisdirectedStatus) return AttemptOutcome::kMisdirected;
+  if (info.not_run) return AttemptOutcome::kNotRun;
   if (!info.has_stamp || info.has_content_encoding)
     return AttemptOutcome::kBroken;
   return AttemptOutcome::kCompleteResponse;
--- a/tests/system/router_bench.py
+++ b/tests/system/router_bench.py
@@ -48,6 +48,7 @@
         self.router = None
         self.store = Store()
         self.address = ""
+        self.starts = 0
 
     async def start(self):
         """Starts everything and waits until the router is ready."""
@@ -58,10 +59,7 @@
         self.address = address
         await asyncio.start_server(self.serve, *address.rsplit(":", 1))
         store.put("op/config", manifest(self.kind))
-        store.put("servers/i-1", json.dumps({
-            "service": "plain", "address": address, "zone": "a",
-            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-            "seq": 1, "born": 1}).encode())
+        self.list_endpoint()
         self.router = Router(str(BUILD / "peridot-router"), self.folder,
                              self.net, 0, place)
         self.router.write_settings([])
@@ -75,6 +73,14 @@
                 pass
         raise RuntimeError("the router did not become ready")
 
+    def list_endpoint(self):
+        """Writes the endpoint's entry, of a new start of it each time."""
+        self.starts += 1
+        self.store.put("servers/i-1", json.dumps({
+            "service": "plain", "address": self.address, "zone": "a",
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+            "seq": 1, "born": self.starts}).encode())
+
     async def is_ready(self):
         """Returns whether the router says that it is ready."""
         reader, writer = await asyncio.open_connection(
