Restore the store from older copies in the soak

The operator and the endpoints write again what they had written since. The reset of cut heads in answer_framing_test.py is one now.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -121,6 +121,7 @@
         self.over = False
         # Spans in which the store or routers were harmed.
         self.unsettled_spans = []
+        self.restoring = False
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -197,6 +198,11 @@
         endpoint.listed_at = proxy.address
         self.proxies.append(proxy)
         self.endpoints.append(endpoint)
+        self.list_endpoint(endpoint)
+
+    def list_endpoint(self, endpoint):
+        """Writes an endpoint's entry as the endpoint does."""
+        endpoint.sequence += 1
         self.store.put("servers/" + endpoint.name, endpoint.entry())
 
     def request(self, path, body=b""):
@@ -311,9 +317,10 @@
             return
         endpoint = self.random.choice(staying)
         endpoint.leaving_since = self.now()
-        self.store.put("servers/" + endpoint.name, endpoint.entry())
+        self.list_endpoint(endpoint)
         await self.add_endpoint(service)
         await asyncio.sleep(self.random.uniform(1.5, 4.0))
+        endpoint.is_listed = False
         self.store.remove("servers/" + endpoint.name)
         await asyncio.sleep(1.5)
         endpoint.server.close()
@@ -337,6 +344,25 @@
         self.store_proxy.mode, self.store_proxy.delay = "pass", 0.0
         self.store_proxy.reset_all()
 
+    async def restore_store(self):
+        """The store returns to an older copy. The operator and the endpoints
+        write again what they had written since."""
+        if self.restoring:
+            return
+        self.restoring = True
+        copy = self.store.copy()
+        await asyncio.sleep(self.random.uniform(0.5, 5.0))
+        self.store_proxy.reset_all()
+        self.store.restore(copy)
+        await self.unsettled(self.random.uniform(0.1, 1.0))
+        self.store.put("op/config", self.manifest(self.version))
+        for endpoint in self.endpoints:
+            if endpoint.is_listed:
+                self.list_endpoint(endpoint)
+            else:
+                self.store.remove("servers/" + endpoint.name)
+        self.restoring = False
+
     async def harm_endpoint(self):
         """An endpoint's connections are reset, silent or delayed."""
         proxy = self.random.choice(self.proxies)
@@ -442,7 +468,7 @@
 
     async def trouble(self):
         """Starts faults one after another; they overlap."""
-        kinds = [self.harm_store, self.harm_endpoint, self.kill_router,
+        kinds = [self.harm_store, self.restore_store, self.harm_endpoint, self.kill_router,
                  self.stop_router, self.pause_router, self.reload_router,
                  self.change_manifest, self.change_manifest, self.cut_link,
                  lambda: self.leave_endpoint("engines"),
--- a/tests/system/answer_framing_test.py
+++ b/tests/system/answer_framing_test.py
@@ -56,10 +56,17 @@
     writer.write(head[:head.index(end) + len(end)].encode())
     await writer.drain()
     if how == "reset":
-        await asyncio.sleep(RESET_DELAY_S)
-        writer.transport.abort()
-        return
-    writer.close()
+        await reset(writer)
+    else:
+        writer.close()
+
+
+async def reset(writer):
+    """Resets a connection."""
+    await asyncio.sleep(RESET_DELAY_S)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 async def play_cut_head(bench, name):
@@ -91,10 +98,7 @@
                   f"{STAMP[0]}: {STAMP[1]}\r\n{headers}\r\n").encode() + body)
     await writer.drain()
     if is_reset:
-        await asyncio.sleep(RESET_DELAY_S)
-        writer.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.transport.abort()
+        await reset(writer)
         return
     writer.close()
 
