--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -134,7 +134,8 @@
 bool announce_leaving(const RoutingContext& context, const std::string& id) {
   EndpointState* endpoint = find_endpoint(context, id);
   if (endpoint == nullptr) return false;
-  const bool was_known = std::exchange(endpoint->announced_leaving, true);
+  endpoint->announced_leaving = true;
+  const bool was_known = endpoint->leaving_since != 0;
   mark_leaving(context, *endpoint, "announced by the endpoint");
   plan_moves(context);
   return !was_known;
