Answer 502 for a call that has run and cannot be repeated

What callers saw: an idempotent call whose first attempt had run and failed, or broken off, was answered 503, 'not run', if its second attempt found no endpoint or was refused. Cause: rejections looked at the last attempt only. Limits of endpoints make it more common. Change: once an endpoint may have run a request, it ends with 502. Evidence: requests_test.cc, 'a call that has run is not rejected as not run', failed before in both of its cases (503).

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -97,6 +97,19 @@
   return permit_at && *permit_at < request.permit_deadline;
 }
 
+// Ends a request that no endpoint runs now. Only one that has not run before
+// may be rejected as not run.
+void reject_request(const RoutingContext& context, std::uint64_t request_number,
+                    Millis retry_after, const std::string& reason) {
+  const RequestState* request = find_request(context, request_number);
+  if (request != nullptr && request->may_have_run) {
+    fail_request(context, request_number, 502, -1, reason);
+    return;
+  }
+  fail_request(context, request_number, kHttpServiceUnavailable, retry_after,
+               reason);
+}
+
 // Rejects a request for which there is no endpoint. If endpoints are limited or
 // have asked for a pause, its caller is told to come back when the next request
 // may be sent to one.
@@ -117,8 +130,8 @@
     wait = *acceptance_at - state.now;
     reason = "endpoints_decline";
   }
-  fail_request(context, request_number, kHttpServiceUnavailable,
-               wait + random_retry_after(state), reason);
+  reject_request(context, request_number, wait + random_retry_after(state),
+                 reason);
 }
 
 // Sends the request to the best endpoint, or rejects it as not run. Unless the
@@ -228,6 +241,7 @@
     release_request(context, request_number);
     return;
   }
+  request.may_have_run = true;
   if (try_take_request_retry(context, request)) {
     place_request(context, request_number, request, request.endpoint);
     return;
@@ -254,8 +268,8 @@
   request.connect_failures += 1;
   if (request.connect_failures >= kMaxConnectFailures ||
       is_overdue(context.state, request)) {
-    fail_request(context, request_number, kHttpServiceUnavailable,
-                 random_retry_after(context.state), "endpoints_unreachable");
+    reject_request(context, request_number, random_retry_after(context.state),
+                   "endpoints_unreachable");
     return;
   }
   place_request(context, request_number, request, request.endpoint);
@@ -288,6 +302,7 @@
                           std::uint64_t request_number, RequestState& request,
                           const AttemptEnded& event) {
   const bool failed = event.status >= kFirstServerError;
+  request.may_have_run = true;
   if (failed && try_take_request_retry(context, request)) {
     place_request(context, request_number, request, request.endpoint);
     return;
@@ -306,8 +321,8 @@
     place_request(context, request_number, request, request.endpoint);
     return;
   }
-  fail_request(context, request_number, kHttpServiceUnavailable,
-               random_retry_after(context.state), "endpoint_refused");
+  reject_request(context, request_number, random_retry_after(context.state),
+                 "endpoint_refused");
 }
 
 void record_attempt_outcome(const RoutingContext& context,
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -134,6 +134,8 @@
   Millis placement_requested_at = 0;
   bool coordinator_answered = false;
   bool wait_recorded = false;
+  // An endpoint has, or may have, run it.
+  bool may_have_run = false;
   // Attempts of which a byte may have reached an endpoint.
   std::uint32_t sent_attempts = 0;
   std::uint32_t connect_failures = 0;
--- a/tests/routing/requests_test.cc
+++ b/tests/routing/requests_test.cc
@@ -109,6 +109,25 @@
   CHECK(ignored.at("in_force") == "7");
 }
 
+TEST_CASE("a call that has run is not rejected as not run", "[routing]") {
+  RouterHarness router;
+  const auto request = router.send_request("/lookup/1");
+  const bool is_refused = GENERATE(true, false);
+  if (!is_refused) {
+    // No other endpoint is left for the second attempt.
+    const std::string other =
+        router.last_attempt(request).endpoint == "p1" ? "p2" : "p1";
+    router.apply(EndpointUnlisted{other});
+  }
+  auto effects = router.apply(
+      AttemptEnded{request, 1, AttemptOutcome::kCompleteResponse, 500});
+  if (is_refused)
+    effects = router.apply(AttemptEnded{request, 2, AttemptOutcome::kNotRun});
+  const auto responses = effects_of<SendLocalResponse>(effects);
+  REQUIRE(responses.size() == 1);
+  CHECK(responses.front().status == 502);
+}
+
 TEST_CASE("a non-idempotent call with a broken answer fails with 502",
           "[routing]") {
   RouterHarness router;
