--- a/src/libperidotreach/routing/limited_endpoints.cc
+++ b/src/libperidotreach/routing/limited_endpoints.cc
@@ -17,8 +17,8 @@
 // How long the end of a limit is reported to peers.
 constexpr Millis kEndReportPeriod = 5 * kSecond;
 
-// Time after which the bucket of an endpoint is removed if it is not used. It
-// starts empty again, so nobody gains by it.
+// Time after which an unused bucket is removed. A new one starts empty, so no
+// permits are added by that.
 constexpr Millis kBucketRetention = 10 * kSecond;
 
 }  // namespace
--- a/src/libperidotreach/routing/request_permits.h
+++ b/src/libperidotreach/routing/request_permits.h
@@ -3,8 +3,8 @@
 // Permits for requests to endpoints that limit their rate. One process, the
 // coordinator of an endpoint, hands out permits at the rate that the endpoint
 // takes; the others request them when they have requests to send. A permit
-// lapses soon after it was requested, so that nobody has to know which
-// processes are lost or paused, and an answer that is late is worth nothing.
+// lapses soon after it was requested and late answers are ignored, so that the
+// coordinator need not know which processes are lost or paused.
 
 #include <cstdint>
 #include <deque>
@@ -23,8 +23,8 @@
 // Permits that one process requests at once at the most.
 inline constexpr std::uint32_t kMaxPermitsAtOnce = 8;
 
-// Longest time for which a process is told to wait for a permit. By then the
-// rate, or the demand of the others, may have changed.
+// Longest time after which a process that got no permit requests one again, as
+// the rate or the demand of others may have changed.
 inline constexpr Millis kMaxPermitWait = kSecond;
 
 // The permits of one endpoint at its coordinator.
@@ -55,8 +55,8 @@
 double permitted_rate(double requests_per_second, double live_share);
 
 // Takes up to `wanted` permits out of a bucket that fills at
-// `permits_per_second`. Processes that get none are told different times, so
-// that they take turns.
+// `permits_per_second`. Processes that get none are given different
+// times to request again, so that they do not all return at once.
 PermitGrant take_from_bucket(PermitBucket& bucket, double permits_per_second,
                              std::uint32_t wanted, Millis now);
 
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -37,7 +37,7 @@
 // it; kCompleteResponse if the head is valid and the body can be read.
 AttemptOutcome check_response_head(const ResponseInfo& info,
                                    const std::string& id, unsigned status) {
-  // A refusal of another request says nothing about this one.
+  // A refusal of another request does not tell whether this one ran.
   if (!info.request_id.empty() && info.request_id != id) {
     return AttemptOutcome::kBroken;
   }
