--- a/review/common/early_engine.py
+++ b/review/common/early_engine.py
@@ -73,7 +73,14 @@
         channel.close()
 
 
-listener = socket.create_server((HOST, PORT))
+# Links have small windows, so a peer that does not read blocks the writer.
+WINDOW_BYTES = 32768
+
+listener = socket.socket()
+listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+listener.bind((HOST, PORT))
+listener.listen()
 say("listens")
 while True:
     accepted, _ = listener.accept()
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -50,10 +51,16 @@
 
 
 def free_port(host):
-    """Returns a port of `host` that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Returns a port of `host` that is free now, below those that the kernel
+    gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
