--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,85 +1,91 @@
-"""An engine crashes in the middle of an answer that has no length, before it
-has read the whole of a long request."""
+"""A planned stop of a router that holds requests for which no engine has room
+yet."""
 
 import asyncio
 import pathlib
+import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from harness import (Fleet, entry, free_port, main, manifest, read_body,  # noqa: E402
+from harness import (BOUNDS, ENGINE, Fleet, main, manifest, read_body,  # noqa: E402
                      read_head, request, route, trouble)
+from model_engine import Book, ModelEngine  # noqa: E402
 
-NET = "127.0.92"
-CALLS = 4
-BODY_BYTES = 4_000_000
-PIECES = 40
-PAUSE_MS = 50
-CRASH_AFTER_S = 0.8
+NET = "127.0.91"
+# The engine's memory holds eight of these requests.
+RUNNING = 10
+WAITING = 4
+TOKENS = "3000,1000"
+# One event each 40 ms: the running requests last 20 s, within their time limit.
+EVENTS = 500
+SENT_BEFORE_STOP_S = 1.0
 
 
-async def call(router, number, record):
-    """Sends one long request. Returns what broke the rule."""
-    identity = f"tally-{number}"
+async def call(router, identity, record, stopped_at):
+    """Sends one request. Returns what broke the rule."""
     reader, writer = await router.connect()
-    record(f"client sends {identity}, {BODY_BYTES} bytes, to {router.name}")
-    writer.write(request("POST", "/batch/1", identity, 15000, b"b" * BODY_BYTES))
+    sent = time.monotonic()
+    record(f"client sends {identity} to {router.name}")
+    writer.write(request("POST", "/report/1", identity, 39000, b"notes", [
+        ("Peridotreach-Model", "m"), ("Peridotreach-Token-Usage", TOKENS),
+        ("Peridotreach-Length-Hint", "1000"),
+        ("Peridotreach-Prefix-Hash", f"5c1e07a2:80,{hash(identity) & 0xffff:x}:2920")]))
     head = await read_head(reader)
+    took = time.monotonic() - sent
     if head is None:
-        record(f"client: {identity} got a closed channel")
+        record(f"client: {identity} got a closed channel without an answer "
+               f"after {took:.2f} s")
         writer.close()
-        return []
+        return identity, None
     complete = await read_body(reader, head)
+    record(f"client: {identity} got {head.status} after {took:.2f} s, "
+           f"{'complete' if complete else 'broken off'}")
     writer.close()
-    whole = "".join(f"{identity} piece {n} of {PIECES}\n"
-                    for n in range(1, PIECES + 1)).encode()
-    record(f"client: {identity} got {head.status}, stamp "
-           f"{head.get('Peridotreach-Response-Stamp') or 'none'}, "
-           f"{len(head.body)} bytes, {'complete' if complete else 'broken off'}")
-    if head.status == 200 and complete and head.body != whole:
-        return [f"MIXED: {identity} got 200 with {len(head.body)} of "
-                f"{len(whole)} bytes of the engine's body, as complete"]
-    if not trouble() and not (head.status == 200 and complete):
-        return [f"{identity} was not served without the disruption"]
-    return []
-
-
-async def note(engine, record, name):
-    """Records what the engine says."""
-    async for line in engine.stdout:
-        record(f"{name} {line.decode().strip()}")
+    return identity, head.status
 
 
 async def play(folder, record):
-    """Sends long requests to an engine that crashes."""
+    """Fills an engine, lets requests wait and stops their router."""
     fleet = Fleet(NET, folder, 2)
-    engine = None
     try:
         await fleet.start(manifest(
-            1, [route("batch", "non_idempotent", "records", 15000)],
-            [{"name": "records", "max_conns": 96}]))
-        host = f"{NET}.100"
-        port = free_port(host)
-        engine = await asyncio.create_subprocess_exec(
-            sys.executable, str(FOLDER.parent / "common" / "early_engine.py"),
-            host, str(port), "i-0", str(PIECES), str(PAUSE_MS),
-            stdout=asyncio.subprocess.PIPE)
-        asyncio.ensure_future(note(engine, record, "i-0"))
-        fleet.store.put("servers/i-0", entry("records", f"{host}:{port}",
-                                             "zone-a", slots=6))
+            1, [route("report", "stream", "llm", 39000, slo_ms=4000)],
+            [{"name": "llm", "max_conns": 222, "engine": ENGINE}]))
+        book = Book(record, EVENTS)
+        await ModelEngine(book, fleet.store, "i-0", "zone-a", f"{NET}.100",
+                          framed=True).start()
         await fleet.wait_until_ready()
-        calls = [asyncio.ensure_future(call(fleet.routers[n % 2], n, record))
-                 for n in range(CALLS)]
-        await asyncio.sleep(CRASH_AFTER_S)
+        stopped_at = []
+        router = fleet.routers[0]
+        running = [asyncio.ensure_future(
+            call(fleet.routers[1], f"running-{n}", record, stopped_at))
+            for n in range(RUNNING)]
+        await asyncio.sleep(2)
+        waiting = [asyncio.ensure_future(
+            call(router, f"waiting-{n}", record, stopped_at))
+            for n in range(WAITING)]
+        await asyncio.sleep(SENT_BEFORE_STOP_S)
         if trouble():
-            record("i-0 crashes (SIGKILL)")
-            engine.kill()
-        return [line for lines in await asyncio.gather(*calls) for line in lines]
+            stopped_at.append(time.monotonic())
+            record(f"SIGTERM to {router.name}")
+            router.send(signal.SIGTERM)
+            await asyncio.wait_for(router.process.wait(), BOUNDS["grace_s"])
+            record(f"{router.name} ended after "
+                   f"{time.monotonic() - stopped_at[0]:.1f} s with "
+                   f"{router.process.returncode}")
+        broken = []
+        for identity, status in await asyncio.gather(*waiting):
+            if status is None:
+                broken.append(f"LOST: {identity} was read and its channel ended "
+                              f"without an answer; runs at engines: "
+                              f"{book.runs.get(identity, 0)}")
+        for task in running:
+            task.cancel()
+        return broken
     finally:
-        if engine is not None and engine.returncode is None:
-            engine.kill()
-            await engine.wait()
         await fleet.stop()
 
 
