--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 # they are compiled here only to show that they can be read.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - common [1-5]/*.py <<'PY'
+python3 - common besides/*/*.py [1-5]/*.py <<'PY'
 import ast
 import pathlib
 import sys
