Requests that cannot end before a planned stop are rejected as not run

Seen: streams that waited for an engine when their router got SIGTERM were closed without an answer 7.6 s later; streams that came late, on connections kept from before, were placed and cut.

Cause: the reducer did not know that its process was stopping, so no stage of a request compared what it needs with the time left.

--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -97,19 +97,6 @@
   return permit_at && *permit_at < request.permit_deadline;
 }
 
-// Ends a request that no endpoint runs now. Only one that has not run before
-// may be rejected as not run.
-void reject_request(const RoutingContext& context, std::uint64_t request_number,
-                    Millis retry_after, const std::string& reason) {
-  const RequestState* request = find_request(context, request_number);
-  if (request != nullptr && request->may_have_run) {
-    fail_request(context, request_number, 502, -1, reason);
-    return;
-  }
-  fail_request(context, request_number, kHttpServiceUnavailable, retry_after,
-               reason);
-}
-
 // Rejects a request for which there is no endpoint. If endpoints are limited or
 // have asked for a pause, its caller is told to come back when the next request
 // may be sent to one.
@@ -139,6 +126,7 @@
 // stated that it did not run it.
 void place_request(const RoutingContext& context, std::uint64_t request_number,
                    RequestState& request, const std::string& excluded) {
+  if (reject_if_stopping(context, request_number, request)) return;
   if (reject_quarantined(context, request_number, request)) return;
   EndpointCriteria criteria;
   criteria.service = request.service;
@@ -246,7 +234,8 @@
     place_request(context, request_number, request, request.endpoint);
     return;
   }
-  fail_request(context, request_number, 502, -1, "endpoint_answer_broken");
+  fail_request(context, request_number, kHttpBadGateway, -1,
+               "endpoint_answer_broken");
 }
 
 void on_connect_failed(const RoutingContext& context,
@@ -404,6 +393,31 @@
   release_request(context, request_number);
 }
 
+void reject_request(const RoutingContext& context, std::uint64_t request_number,
+                    Millis retry_after, const std::string& reason) {
+  const RequestState* request = find_request(context, request_number);
+  if (request != nullptr && request->may_have_run) {
+    fail_request(context, request_number, kHttpBadGateway, -1, reason);
+    return;
+  }
+  fail_request(context, request_number, kHttpServiceUnavailable, retry_after,
+               reason);
+}
+
+void break_off_request(const RoutingContext& context,
+                       std::uint64_t request_number, const std::string& cause) {
+  const RequestState* request = find_request(context, request_number);
+  if (request == nullptr) return;
+  record_decision(context, "outcome", request_number,
+                  {{"id", request->caller_request.id},
+                   {"status", "broken_off"},
+                   {"cause", cause},
+                   {"events", std::to_string(request->event_count)}});
+  context.effects.push_back(CancelAttempt{request_number, request->attempt});
+  context.effects.push_back(AbortResponse{request_number, cause});
+  release_request(context, request_number);
+}
+
 void release_request(const RoutingContext& context,
                      std::uint64_t request_number) {
   RequestState* request = find_request(context, request_number);
@@ -712,18 +726,12 @@
   }
   for (const std::uint64_t request_number : overdue) {
     const RequestState& request = context.state.requests.at(request_number);
-    context.effects.push_back(CancelAttempt{request_number, request.attempt});
-    if (!request.relaying) {
-      fail_request(context, request_number, 504, -1, "timeout");
+    if (request.relaying) {
+      break_off_request(context, request_number, "timeout");
       continue;
     }
-    record_decision(context, "outcome", request_number,
-                    {{"id", request.caller_request.id},
-                     {"status", "broken_off"},
-                     {"cause", "timeout"},
-                     {"events", std::to_string(request.event_count)}});
-    context.effects.push_back(AbortResponse{request_number, "timeout"});
-    release_request(context, request_number);
+    context.effects.push_back(CancelAttempt{request_number, request.attempt});
+    fail_request(context, request_number, 504, -1, "timeout");
   }
 }
 
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -313,6 +313,11 @@
   std::string peer;
 };
 
+// The process has been told to stop. It is killed `grace` later.
+struct StopRequested {
+  Millis grace = 0;
+};
+
 // Sent at a fixed interval.
 struct RoutingTicked {};
 
@@ -320,14 +325,15 @@
 struct RoutingEvent {
   Millis at = 0;
   std::uint64_t random = 0;
-  std::variant<
-      ManifestReceived, EndpointListed, EndpointUnlisted, EndpointLeaving,
-      EndpointAnswered, StoreReachabilityChanged, StoreEraSeen,
-      RetryLimitsChanged, RequestArrived, CallerDisconnected, AttemptEnded,
-      StreamOpened, StreamEventReceived, CopyFinished, CopyLeaseGranted,
-      CopyLeaseQueued, PlacementRequested, PlacementAnswered,
-      ForwardedPlacementGranted, PermitsRequested, PermitsAnswered,
-      PeerReportReceived, PromptReportReceived, PeerLost, RoutingTicked>
+  std::variant<ManifestReceived, EndpointListed, EndpointUnlisted,
+               EndpointLeaving, EndpointAnswered, StoreReachabilityChanged,
+               StoreEraSeen, RetryLimitsChanged, RequestArrived,
+               CallerDisconnected, AttemptEnded, StreamOpened,
+               StreamEventReceived, CopyFinished, CopyLeaseGranted,
+               CopyLeaseQueued, PlacementRequested, PlacementAnswered,
+               ForwardedPlacementGranted, PermitsRequested, PermitsAnswered,
+               PeerReportReceived, PromptReportReceived, PeerLost,
+               StopRequested, RoutingTicked>
       body;
 };
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -304,9 +304,14 @@
   if (!removed.empty()) sum_peer_usage(state, removed.mapped().endpoint_usage);
 }
 
+void apply(const RoutingContext& context, const StopRequested& event) {
+  on_stop_requested(context, event);
+}
+
 void apply(const RoutingContext& context, const RoutingTicked&) {
   RoutingState& state = context.state;
   end_overdue_requests(context);
+  end_requests_at_stop(context);
   drop_missing_endpoints(context);
   expire_permits(context);
   place_queued_requests(context);
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -14,6 +14,7 @@
 #include "libperidotreach/routing/endpoint_limit.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/placement_queue.h"
+#include "libperidotreach/routing/planned_stop.h"
 #include "libperidotreach/routing/prompt_quarantine.h"
 #include "libperidotreach/routing/queue_wait.h"
 #include "libperidotreach/routing/routing_effect.h"
@@ -228,6 +229,8 @@
   Millis store_regained_at = 0;
   // The newest era of the store that is known.
   std::uint64_t store_era = 0;
+  // Set once the process has been told to stop.
+  std::optional<PlannedStop> stop;
   std::optional<Manifest> manifest;
   // The shortest first-byte objective of the manifest's stream routes; 0 if it
   // has none.
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -15,6 +15,7 @@
 
 // Statuses that the reducer tells apart or sends itself.
 inline constexpr unsigned kHttpOk = 200;
+inline constexpr unsigned kHttpBadGateway = 502;
 inline constexpr unsigned kHttpServiceUnavailable = 503;
 
 // The state being changed and the effects so far.
@@ -55,6 +56,16 @@
                   unsigned status, Millis retry_after,
                   const std::string& reason);
 
+// Ends a request that no endpoint runs now. Only one that has not run before
+// is rejected as not run.
+void reject_request(const RoutingContext& context, std::uint64_t request_number,
+                    Millis retry_after, const std::string& reason);
+
+// Cancels the attempt of a request and closes the caller's connection inside
+// the response.
+void break_off_request(const RoutingContext& context,
+                       std::uint64_t request_number, const std::string& cause);
+
 // Removes the request and releases its resources.
 void release_request(const RoutingContext& context,
                      std::uint64_t request_number);
@@ -92,6 +103,17 @@
 // rank.
 void place_waiting_requests(const RoutingContext& context);
 
+// Requests of a process that stops (stopping_requests.cc).
+void on_stop_requested(const RoutingContext& context,
+                       const StopRequested& event);
+// Rejects a request that is not placed if it cannot end before the process
+// does. Returns whether it was rejected.
+bool reject_if_stopping(const RoutingContext& context,
+                        std::uint64_t request_number,
+                        const RequestState& request);
+// Gives each request its outcome when the time of the stop is over.
+void end_requests_at_stop(const RoutingContext& context);
+
 // Placement on engines at the process that has the request
 // (engine_placement.cc).
 void on_placement_answered(const RoutingContext& context,
--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "libperidotreach/routing/planned_stop.h"
 #include "peridot-router/router_node.h"
 #include "runtime/http_server.h"
 #include "runtime/socket_state.h"
@@ -22,9 +23,6 @@
 // Number of bytes read at once while waiting for a request; most requests fit.
 constexpr std::size_t kReadBytes = 4096;
 
-// Time for the last request on a connection during a shutdown.
-constexpr Millis kLastRequestWait = kSecond;
-
 // Time for a caller to receive a write. A caller that receives nothing for
 // longer is considered gone.
 constexpr auto kWriteTimeout = std::chrono::seconds(30);
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -18,21 +18,6 @@
 // Interval at which timeouts, moves of generations and digests are checked.
 constexpr Millis kTickInterval = 40;
 
-// Time after the start of a shutdown for which the process still accepts
-// connections, as callers cache its address for a while.
-constexpr Millis kAcceptTimeAfterStop = 3 * kSecond;
-
-// Time after the last connections were accepted for their requests to be read.
-constexpr Millis kLastRequestsTime = 200;
-
-// Time before the end of the grace period at which the process stops even if
-// requests are still in flight.
-constexpr Millis kStopMargin = 400;
-
-// Time after the start of a shutdown at which idle connections are closed. By
-// then, callers have had time to learn that this process is stopping.
-constexpr Millis kIdleCloseDelay = 1500;
-
 // Time for an endpoint to copy the KV cache of a generation.
 constexpr Millis kCopyTimeout = 4 * kSecond;
 
@@ -280,24 +265,25 @@
 
 void RouterNode::stop(std::function<void()> on_stopped) {
   if (stopping()) return;
-  stopping_since_ = monotonic_now();
   on_stopped_ = std::move(on_stopped);
   log(LogLevel::kInfo, "stopping",
       {{"in_flight", std::to_string(exchanges_.size())}});
-  notify_peers(stopping_since_);
+  post(StopRequested{settings_.stop_grace});
+  notify_peers(monotonic_now());
 }
 
 void RouterNode::advance_shutdown(Millis now) {
-  const Millis elapsed = now - stopping_since_;
-  if (elapsed >= kIdleCloseDelay) {
+  const StopSchedule& schedule = state_.stop->schedule;
+  const Millis elapsed = now - state_.stop->started_at;
+  if (elapsed >= schedule.close_idle_after) {
     for (const auto& weak : sessions_) {
       if (const auto session = weak.lock()) session->close_if_idle();
     }
   }
-  if (elapsed >= kAcceptTimeAfterStop && acceptor_->is_open()) close_acceptor();
-  const bool idle =
-      elapsed >= kAcceptTimeAfterStop + kLastRequestsTime && exchanges_.empty();
-  if (!idle && elapsed < settings_.stop_grace - kStopMargin) return;
+  if (elapsed >= schedule.accept_until && acceptor_->is_open())
+    close_acceptor();
+  const bool idle = elapsed >= schedule.end_after && exchanges_.empty();
+  if (!idle && elapsed < schedule.end_by) return;
   if (!on_stopped_) return;
   log(LogLevel::kInfo, "stopped",
       {{"in_flight", std::to_string(exchanges_.size())}});
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -111,7 +111,7 @@
   void close_exchange(const RequestExchange& exchange);
   void on_caller_disconnected(const RequestExchange& exchange);
   const CallerLimits& caller_limits() const;
-  bool stopping() const { return stopping_since_ != 0; }
+  bool stopping() const { return state_.stop.has_value(); }
 
   const RoutingState& state() const { return state_; }
 
@@ -192,7 +192,6 @@
   bool reducing_ = false;
   std::uint64_t next_request_ = 1;
   CallerLimits default_limits_;
-  Millis stopping_since_ = 0;
   Millis endpoints_polled_at_ = 0;
   std::function<void()> on_stopped_;
 };
--- a/tests/system/router_bench.py
+++ b/tests/system/router_bench.py
@@ -28,14 +28,26 @@
         ("Peridotreach-Deadline-Ms", str(deadline_ms))], b"body")
 
 
-def manifest(kind, timeout_ms=5000):
-    """Returns a manifest with one route of this kind."""
+# An engine whose memory holds one generation of ENGINE_TOKENS.
+ENGINE_TOKENS = "1000,1000"
+ENGINE = {"slots": 8, "kv_capacity": 2600, "kv_token_bytes": 163840,
+          "link_mbps": 24000.0, "moves": False, "stride": 4, "handle_s": 5.0}
+
+
+def manifest(kind, timeout_ms=5000, engine=None):
+    """Returns a manifest with one route of this kind. Its service has engines
+    if `engine` describes them."""
+    service = {"name": "plain", "max_conns": 500}
+    first_byte_ms = 500
+    if engine:
+        service["engine"] = engine
+        first_byte_ms = 4000
     return json.dumps({
         "version": 1,
         "routes": [{"name": "entry", "host": HOST, "path_prefix": "/entry/",
-                    "type": kind, "timeout_ms": timeout_ms, "slo_ms": 500,
+                    "type": kind, "timeout_ms": timeout_ms, "slo_ms": first_byte_ms,
                     "service": "plain", "attempts": 1, "public": False}],
-        "services": [{"name": "plain", "max_conns": 500}],
+        "services": [service],
         "limits": LIMITS,
         "tenants": [{"name": "mill", "api_keys": [KEY]}]}).encode()
 
@@ -43,8 +55,9 @@
 class Bench:
     """A router, its store and one endpoint served by `serve`."""
 
-    def __init__(self, net, folder, kind, serve):
-        self.net, self.folder, self.kind, self.serve = net, folder, kind, serve
+    def __init__(self, net, folder, kind, serve, timeout_ms=5000, engine=None):
+        self.net, self.folder, self.serve = net, folder, serve
+        self.manifest = manifest(kind, timeout_ms, engine)
         self.router = None
         self.store = Store()
         self.address = ""
@@ -58,7 +71,7 @@
         address = f"{self.net}.100:{free_port(self.net + '.100')}"
         self.address = address
         await asyncio.start_server(self.serve, *address.rsplit(":", 1))
-        store.put("op/config", manifest(self.kind))
+        store.put("op/config", self.manifest)
         self.list_endpoint()
         self.router = Router(str(BUILD / "peridot-router"), self.folder,
                              self.net, 0, place)
