A stopping router waits for requests that are being read

Seen: a body in chunks, or one with a length, that was still being sent when a stopping router had nothing else to do was cut off 3.2 s after SIGTERM.

Cause: the end of the process waited for exchanges, which begin when a request is whole. The router now waits for sessions with an open request, also one whose bytes have arrived but were not read, until the end of the stop.

--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -54,15 +54,16 @@
     : stream_(std::move(socket)), node_(node) {}
 
 void CallerSession::close_if_idle() {
-  // A request that has arrived meanwhile is still served.
-  if (!idle_ || !has_served_ ||
-      socket_state(stream_.socket()) == SocketState::kBytesArrived)
-    return;
+  if (!has_served_ || has_open_request()) return;
   error_code ignored;
   stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
   stream_.close();
 }
 
+bool CallerSession::has_open_request() {
+  return !idle_ || socket_state(stream_.socket()) == SocketState::kBytesArrived;
+}
+
 awaitable<bool> CallerSession::wait_for_request() {
   if (buffer_.size() > 0) co_return true;
   // During a shutdown a connection still gets one request answered, with the
--- a/src/peridot-router/caller_session.h
+++ b/src/peridot-router/caller_session.h
@@ -28,6 +28,9 @@
   // Closes the connection if no request is being read or served.
   void close_if_idle();
 
+  // Returns whether a part of a request has arrived that is not answered yet.
+  bool has_open_request();
+
  private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -272,6 +272,14 @@
   notify_peers(monotonic_now());
 }
 
+bool RouterNode::has_open_requests() const {
+  if (!exchanges_.empty()) return true;
+  return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& weak) {
+    const auto session = weak.lock();
+    return session != nullptr && session->has_open_request();
+  });
+}
+
 void RouterNode::advance_shutdown(Millis now) {
   const StopSchedule& schedule = state_.stop->schedule;
   const Millis elapsed = now - state_.stop->started_at;
@@ -282,7 +290,7 @@
   }
   if (elapsed >= schedule.accept_until && acceptor_->is_open())
     close_acceptor();
-  const bool idle = elapsed >= schedule.end_after && exchanges_.empty();
+  const bool idle = elapsed >= schedule.end_after && !has_open_requests();
   if (!idle && elapsed < schedule.end_by) return;
   if (!on_stopped_) return;
   log(LogLevel::kInfo, "stopped",
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -166,6 +166,8 @@
   void notify_peers(Millis now);
   LocalDigest local_digest() const;
   bool ready() const;
+  // Returns whether a request is being read, served or answered.
+  bool has_open_requests() const;
   void advance_shutdown(Millis now);
   void poll_endpoints(Millis now);
   awaitable<void> poll_endpoint(std::string id, HttpTarget target);
