A stream that the router ordered to stop is not taken for complete

Cause: the order to stop closes the stream's connection, which for such a response looks like its end. Completeness was decided in the attempt, which does not know of the order.

Change: the attempt reports how the response ended; is_complete in the library decides from its framing and from whether a stop was ordered and not refused. An endpoint that has no such generation any more had ended it before.

--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -42,7 +42,8 @@
 }
 
 void request_copy(const RoutingContext& context, std::uint64_t request_number,
-                  const RequestState& request, bool stop_source) {
+                  RequestState& request, bool stop_source) {
+  if (stop_source) request.stop_ordered = true;
   const EndpointEntry& source =
       context.state.endpoints.at(request.endpoint).entry;
   const EndpointEntry& target =
@@ -204,6 +205,13 @@
                             const CopyFinished& event) {
   if (event.status != kHttpOk && event.handle.empty()) {
     const bool source_ended = request.move.source_ended;
+    // An endpoint that answers has refused the order. One that has no such
+    // generation any more had ended it before.
+    if (event.status != 0) request.stop_ordered = false;
+    if (event.status == kHttpNotFound && request.move.source_ended_whole) {
+      finish_stream(context, request_number, request, {true});
+      return;
+    }
     fail_move(context, request_number, request, event.status);
     if (!source_ended) return;
     context.effects.push_back(AbortResponse{request_number, "move_failed"});
@@ -368,11 +376,11 @@
 bool on_source_ended(const RoutingContext& context,
                      std::uint64_t request_number, RequestState& request,
                      const AttemptEnded& event) {
-  if (event.attempt != request.attempt) return false;
   const bool stopping = request.move.phase == MovePhase::kStopping ||
                         request.move.phase == MovePhase::kResuming;
   if (!stopping || event.outcome == AttemptOutcome::kStreamEnded) return false;
   request.move.source_ended = true;
+  request.move.source_ended_whole = is_complete(event.end, false);
   resume_if_ready(context, request_number, request);
   return true;
 }
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -278,7 +278,8 @@
       {{"status", std::to_string(event.status)},
        {"endpoint", request.endpoint},
        {"ms", std::to_string(context.state.now - request.arrived_at)}});
-  if (!event.ended_by_connection)
+  // A crash can look like the end of the connection.
+  if (!event.end.ends_with_connection)
     clear_suspect(context.state.quarantine, request.caller_request.fingerprint);
   context.effects.push_back(DeliverResponse{
       request_number, request.attempt, first_byte_latency(context, request)});
@@ -314,6 +315,16 @@
                  "endpoint_refused");
 }
 
+// Returns the outcome of an attempt. A response counts as complete only if its
+// end shows it.
+AttemptOutcome settled_outcome(AttemptOutcome outcome, const ResponseEnd& end,
+                               bool stop_ordered) {
+  const bool has_response = outcome == AttemptOutcome::kCompleteResponse ||
+                            outcome == AttemptOutcome::kStreamEnded;
+  if (!has_response || is_complete(end, stop_ordered)) return outcome;
+  return AttemptOutcome::kBroken;
+}
+
 void record_attempt_outcome(const RoutingContext& context,
                             const RequestState& request,
                             const AttemptEnded& event) {
@@ -459,6 +470,7 @@
   assign_endpoint(context, request, endpoint);
   request.placement_deadline = 0;
   request.permit_deadline = 0;
+  request.stop_ordered = false;
   request.attempt += 1;
   request.sent_attempts += 1;
   const EndpointState& target = state.endpoints.at(endpoint);
@@ -567,12 +579,38 @@
   release_request(context, event.request);
 }
 
+void finish_stream(const RoutingContext& context, std::uint64_t request_number,
+                   RequestState& request, const ResponseEnd& end) {
+  record_decision(
+      context, "outcome", request_number,
+      {{"status", "complete"},
+       {"endpoint", request.endpoint},
+       {"route", request.route.name},
+       {"events", std::to_string(request.event_count)},
+       {"first_event_ms",
+        std::to_string(request.first_event_at - request.arrived_at)},
+       {"longest_pause_ms", std::to_string(request.longest_event_gap)},
+       {"moves", std::to_string(request.move_count)},
+       {"ms", std::to_string(context.state.now - request.arrived_at)}});
+  // A crash can look like the end of the connection.
+  if (!end.ends_with_connection) {
+    clear_suspect(context.state.quarantine, request.caller_request.fingerprint);
+    observe_sound_prompt(context, request);
+  }
+  record_output_length(context.state, request,
+                       produced_tokens(context.state, request));
+  context.effects.push_back(FinishStream{request_number});
+  release_request(context, request_number);
+}
+
 void on_attempt_ended(const RoutingContext& context,
-                      const AttemptEnded& event) {
-  RequestState* request = find_request(context, event.request);
-  if (request == nullptr) return;
+                      const AttemptEnded& reported) {
+  RequestState* request = find_request(context, reported.request);
+  if (request == nullptr || reported.attempt != request->attempt) return;
+  AttemptEnded event = reported;
+  event.outcome =
+      settled_outcome(event.outcome, event.end, request->stop_ordered);
   if (on_source_ended(context, event.request, *request, event)) return;
-  if (event.attempt != request->attempt) return;
   record_attempt_outcome(context, *request, event);
   switch (event.outcome) {
     case AttemptOutcome::kNotSent:
@@ -590,26 +628,7 @@
       on_complete_response(context, event.request, *request, event);
       return;
     case AttemptOutcome::kStreamEnded:
-      record_decision(
-          context, "outcome", event.request,
-          {{"status", "complete"},
-           {"endpoint", request->endpoint},
-           {"route", request->route.name},
-           {"events", std::to_string(request->event_count)},
-           {"first_event_ms",
-            std::to_string(request->first_event_at - request->arrived_at)},
-           {"longest_pause_ms", std::to_string(request->longest_event_gap)},
-           {"moves", std::to_string(request->move_count)},
-           {"ms", std::to_string(context.state.now - request->arrived_at)}});
-      if (!event.ended_by_connection) {
-        clear_suspect(context.state.quarantine,
-                      request->caller_request.fingerprint);
-        observe_sound_prompt(context, *request);
-      }
-      record_output_length(context.state, *request,
-                           produced_tokens(context.state, *request));
-      context.effects.push_back(FinishStream{event.request});
-      release_request(context, event.request);
+      finish_stream(context, event.request, *request, event.end);
       return;
     case AttemptOutcome::kBroken:
       on_response_broken(context, event.request, *request);
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -15,6 +15,7 @@
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/prompt_quarantine.h"
 #include "libperidotreach/routing/request_permits.h"
+#include "libperidotreach/routing/response_end.h"
 #include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/routing/store_revision.h"
 #include "libperidotreach/time.h"
@@ -134,9 +135,9 @@
   std::uint32_t attempt = 0;
   AttemptOutcome outcome = AttemptOutcome::kBroken;
   unsigned status = 0;
-  // The end of the connection was the only sign of the end of a response that
-  // counts as complete. A crash can look the same.
-  bool ended_by_connection = false;
+  // How the response ended. Decides whether the outcomes kCompleteResponse and
+  // kStreamEnded hold; any other response is broken.
+  ResponseEnd end;
 };
 
 // The response head of a stream arrived; events follow.
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -100,6 +100,8 @@
   std::int64_t events_made = 0;
   bool has_copy = false;
   bool source_ended = false;
+  // Its stream was complete, unless the order to stop the generation ended it.
+  bool source_ended_whole = false;
   // No move is started before this time.
   Millis not_before = 0;
   // When the lease was last requested, and when its coordinator last answered.
@@ -141,6 +143,8 @@
   std::uint32_t sent_attempts = 0;
   std::uint32_t connect_failures = 0;
   std::string endpoint;
+  // The endpoint may have been ordered to stop the generation.
+  bool stop_ordered = false;
   std::uint64_t projected_tokens = 0;
   // Prompt tokens counted as pending prefill at the endpoint.
   std::uint32_t pending_prefill_tokens = 0;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -15,6 +15,7 @@
 
 // Statuses that the reducer tells apart or sends itself.
 inline constexpr unsigned kHttpOk = 200;
+inline constexpr unsigned kHttpNotFound = 404;
 inline constexpr unsigned kHttpBadGateway = 502;
 inline constexpr unsigned kHttpServiceUnavailable = 503;
 
@@ -90,6 +91,9 @@
 void on_caller_disconnected(const RoutingContext& context,
                             const CallerDisconnected& event);
 void on_attempt_ended(const RoutingContext& context, const AttemptEnded& event);
+// Ends a stream as complete.
+void finish_stream(const RoutingContext& context, std::uint64_t request_number,
+                   RequestState& request, const ResponseEnd& end);
 void on_stream_opened(const RoutingContext& context, const StreamOpened& event);
 void on_stream_event_received(const RoutingContext& context,
                               const StreamEventReceived& event);
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -48,53 +48,64 @@
   return AttemptOutcome::kCompleteResponse;
 }
 
-awaitable<AttemptOutcome> read_body(EndpointAttempt& attempt) {
+// Returns how the response ended as far as the connection tells.
+ResponseEnd response_end(const HttpConnection& connection) {
+  ResponseEnd end;
+  end.ends_with_connection = connection.response_ends_with_connection();
+  end.is_framed_end = connection.response_complete();
+  return end;
+}
+
+awaitable<AttemptEnded> read_body(EndpointAttempt& attempt) {
   HttpConnection& connection = attempt.connection;
+  const unsigned status = attempt.response.status;
   while (true) {
     const std::string bytes = co_await connection.read_some(kReadTimeout);
     attempt.response.body += bytes;
     if (attempt.response.body.size() > kMaxBodyBytes)
-      co_return AttemptOutcome::kBroken;
+      co_return make_ended(attempt, AttemptOutcome::kBroken, status);
     if (!bytes.empty()) continue;
-    co_return connection.response_complete() ? AttemptOutcome::kCompleteResponse
-                                             : AttemptOutcome::kBroken;
+    AttemptEnded ended =
+        make_ended(attempt, AttemptOutcome::kCompleteResponse, status);
+    ended.end = response_end(connection);
+    co_return ended;
   }
 }
 
-awaitable<AttemptOutcome> relay_events(EndpointAttempt& attempt,
-                                       RequestExchange& exchange,
-                                       const PostRoutingEvent& post) {
+awaitable<AttemptEnded> relay_events(EndpointAttempt& attempt,
+                                     RequestExchange& exchange,
+                                     const PostRoutingEvent& post) {
   EventFramer framer;
   HttpConnection& connection = attempt.connection;
+  const AttemptEnded broken =
+      make_ended(attempt, AttemptOutcome::kBroken, attempt.response.status);
   bool has_event = false;
   std::int64_t last_event_id = attempt.params.source.handle.empty()
                                    ? -1
                                    : attempt.params.source.last_event_id;
   while (true) {
     const std::string bytes = co_await connection.read_some(kReadTimeout);
-    if (attempt.cancelled) co_return AttemptOutcome::kBroken;
+    if (attempt.cancelled) co_return broken;
     if (bytes.empty()) {
-      // Without a length or chunks, a connection that was closed before the
-      // first event is not an empty stream.
-      const bool has_end =
-          has_event || !connection.response_ends_with_connection();
-      const bool is_complete = connection.response_complete() &&
-                               !framer.has_partial_event() && has_end;
-      co_return is_complete ? AttemptOutcome::kStreamEnded
-                            : AttemptOutcome::kBroken;
+      AttemptEnded ended = broken;
+      ended.outcome = AttemptOutcome::kStreamEnded;
+      ended.end = response_end(connection);
+      ended.end.is_stream = true;
+      ended.end.has_event = has_event;
+      ended.end.has_partial_event = framer.has_partial_event();
+      co_return ended;
     }
     for (const FramedEvent& event : framer.feed(bytes)) {
       const bool in_order =
           event.id < 0 || last_event_id < 0 || event.id == last_event_id + 1;
-      if (!in_order) co_return AttemptOutcome::kBroken;
+      if (!in_order) co_return broken;
       has_event = true;
       if (event.id >= 0) last_event_id = event.id;
       exchange.append_stream(event.bytes);
       post(StreamEventReceived{attempt.params.request, attempt.params.attempt,
                                event.id});
     }
-    if (framer.partial_event_bytes() > kMaxEventBytes)
-      co_return AttemptOutcome::kBroken;
+    if (framer.partial_event_bytes() > kMaxEventBytes) co_return broken;
     co_await exchange.wait_for_drain();
   }
 }
@@ -130,16 +141,9 @@
   attempt.response.headers = format.forwarded_response_headers(headers);
   if (params.is_stream && is_success(status) && info.is_event_stream) {
     post(StreamOpened{params.request, params.attempt});
-    const AttemptOutcome outcome =
-        co_await relay_events(attempt, exchange, post);
-    AttemptEnded ended = make_ended(attempt, outcome, status);
-    ended.ended_by_connection = connection.response_ends_with_connection();
-    co_return ended;
+    co_return co_await relay_events(attempt, exchange, post);
   }
-  const AttemptOutcome outcome = co_await read_body(attempt);
-  AttemptEnded ended = make_ended(attempt, outcome, status);
-  ended.ended_by_connection = connection.response_ends_with_connection();
-  co_return ended;
+  co_return co_await read_body(attempt);
 }
 
 }  // namespace
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -157,6 +157,64 @@
   CHECK(effects_of<ReleaseCopyLease>(effects).size() == 1);
 }
 
+// A stream with neither a length nor chunks ends alike when the endpoint stops
+// its generation; it was taken for complete after a part of its events.
+TEST_CASE("a stream that was ordered to stop is moved, not complete",
+          "[moves]") {
+  RouterHarness router;
+  const auto request = running_stream(router, 10);
+  const std::string source = router.last_attempt(request).endpoint;
+  announce_leaving(router, source);
+  router.answer_placements(router.apply(CopyLeaseGranted{request, source}));
+  router.apply(copy_finished(request, 9));
+  AttemptEnded ended{request, 1, AttemptOutcome::kStreamEnded, 200};
+  ended.end.ends_with_connection = true;
+  ended.end.is_stream = ended.end.has_event = true;
+  CHECK(effects_of<FinishStream>(router.apply(ended)).empty());
+
+  SECTION("the endpoint stopped it") {
+    const auto starts =
+        effects_of<StartAttempt>(router.apply(copy_finished(request, 9)));
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].source.last_event_id == 9);
+    ended.attempt = 2;
+    CHECK(effects_of<FinishStream>(router.apply(ended)).size() == 1);
+  }
+  SECTION("the generation had ended before the order") {
+    CopyFinished unknown;
+    unknown.request = request;
+    unknown.status = 404;
+    CHECK(effects_of<FinishStream>(router.apply(unknown)).size() == 1);
+  }
+  SECTION("the order was not answered") {
+    CopyFinished silent;
+    silent.request = request;
+    const auto effects = router.apply(silent);
+    CHECK(effects_of<FinishStream>(effects).empty());
+    CHECK(effects_of<AbortResponse>(effects).size() == 1);
+  }
+}
+
+// The endpoint may carry out an order to which it never answered.
+TEST_CASE("an order to stop counts until the endpoint has refused it",
+          "[moves]") {
+  RouterHarness router;
+  const auto request = running_stream(router, 10);
+  const std::string source = router.last_attempt(request).endpoint;
+  announce_leaving(router, source);
+  router.answer_placements(router.apply(CopyLeaseGranted{request, source}));
+  router.apply(copy_finished(request, 9));
+  CopyFinished failed;
+  failed.request = request;
+  failed.status = GENERATE(0u, 409u);
+  router.apply(failed);
+  AttemptEnded ended{request, 1, AttemptOutcome::kStreamEnded, 200};
+  ended.end.ends_with_connection = true;
+  ended.end.is_stream = ended.end.has_event = true;
+  const auto finished = effects_of<FinishStream>(router.apply(ended));
+  CHECK(finished.size() == (failed.status == 0 ? 0 : 1));
+}
+
 TEST_CASE("a stream is aborted if its source and its copy are lost",
           "[moves]") {
   RouterHarness router;
