A response whose request was not sent whole does not end with its connection

Cause: the reset ended the pending write; the reads after it got the bytes that had arrived and an end of file, which was taken for the end of a response without a length. The result of the write was dropped.

Change: the attempt reports whether the request was sent whole, and is_complete requires it of a response that ends with its connection.

--- a/src/libperidotreach/routing/response_end.cc
+++ b/src/libperidotreach/routing/response_end.cc
@@ -7,7 +7,7 @@
   if (!end.ends_with_connection) return true;
   // The end of the connection is the only sign of the end, so everything else
   // that closes a connection has to be ruled out.
-  if (stop_ordered) return false;
+  if (stop_ordered || !end.is_request_sent) return false;
   return !end.is_stream || end.has_event;
 }
 
--- a/src/libperidotreach/routing/response_end.h
+++ b/src/libperidotreach/routing/response_end.h
@@ -11,6 +11,9 @@
   bool ends_with_connection = false;
   // Its body has reached the end that its framing gives.
   bool is_framed_end = true;
+  // The whole request was sent. If not, the endpoint may have closed the
+  // connection for that reason, or crashed.
+  bool is_request_sent = true;
   // It is a stream of events.
   bool is_stream = false;
   bool has_event = false;
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -49,8 +49,10 @@
 }
 
 // Returns how the response ended as far as the connection tells.
-ResponseEnd response_end(const HttpConnection& connection) {
+ResponseEnd response_end(const EndpointAttempt& attempt) {
+  const HttpConnection& connection = attempt.connection;
   ResponseEnd end;
+  end.is_request_sent = attempt.is_request_sent;
   end.ends_with_connection = connection.response_ends_with_connection();
   end.is_framed_end = connection.response_complete();
   return end;
@@ -67,7 +69,7 @@
     if (!bytes.empty()) continue;
     AttemptEnded ended =
         make_ended(attempt, AttemptOutcome::kCompleteResponse, status);
-    ended.end = response_end(connection);
+    ended.end = response_end(attempt);
     co_return ended;
   }
 }
@@ -89,7 +91,7 @@
     if (bytes.empty()) {
       AttemptEnded ended = broken;
       ended.outcome = AttemptOutcome::kStreamEnded;
-      ended.end = response_end(connection);
+      ended.end = response_end(attempt);
       ended.end.is_stream = true;
       ended.end.has_event = has_event;
       ended.end.has_partial_event = framer.has_partial_event();
@@ -120,7 +122,10 @@
     co_return make_ended(attempt, AttemptOutcome::kNotSent);
   }
   ClientRequest request = format.endpoint_request(exchange.request(), params);
-  co_await connection.send(std::move(request), params.time_left);
+  // An endpoint may answer, and close the connection, before it has read the
+  // whole request, so the response is read even if the request was not sent.
+  attempt.is_request_sent =
+      co_await connection.send(std::move(request), params.time_left);
   const unsigned status = co_await connection.read_head(kReadTimeout);
   if (status == 0) co_return make_ended(attempt, AttemptOutcome::kBroken);
   const std::vector<HttpHeader> headers = connection.headers();
--- a/src/peridot-router/endpoint_attempt.h
+++ b/src/peridot-router/endpoint_attempt.h
@@ -21,6 +21,8 @@
   HttpConnection connection;
   // Set before the router closes the connection itself.
   bool cancelled = false;
+  // The whole request was sent.
+  bool is_request_sent = false;
   // The part of the response received so far, in the form sent to the caller.
   CallerResponse response;
 };
--- a/tests/system/router_bench.py
+++ b/tests/system/router_bench.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import socket
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -34,7 +35,7 @@
           "link_mbps": 24000.0, "moves": False, "stride": 4, "handle_s": 5.0}
 
 
-def manifest(kind, timeout_ms=5000, engine=None):
+def manifest(kind, timeout_ms=5000, engine=None, max_body_bytes=8192):
     """Returns a manifest with one route of this kind. Its service has engines
     if `engine` describes them."""
     service = {"name": "plain", "max_conns": 500}
@@ -48,16 +49,19 @@
                     "type": kind, "timeout_ms": timeout_ms, "slo_ms": first_byte_ms,
                     "service": "plain", "attempts": 1, "public": False}],
         "services": [service],
-        "limits": LIMITS,
+        "limits": {**LIMITS, "max_body_bytes": max_body_bytes},
         "tenants": [{"name": "mill", "api_keys": [KEY]}]}).encode()
 
 
 class Bench:
     """A router, its store and one endpoint served by `serve`."""
 
-    def __init__(self, net, folder, kind, serve, timeout_ms=5000, engine=None):
+    def __init__(self, net, folder, kind, serve, receive_bytes=0, **options):
+        """`options` are those of the manifest; `receive_bytes` bounds the
+        endpoint's receive buffer."""
         self.net, self.folder, self.serve = net, folder, serve
-        self.manifest = manifest(kind, timeout_ms, engine)
+        self.manifest = manifest(kind, **options)
+        self.receive_bytes = receive_bytes
         self.router = None
         self.store = Store()
         self.address = ""
@@ -70,7 +74,7 @@
         place = "%s:%d" % server.sockets[0].getsockname()[:2]
         address = f"{self.net}.100:{free_port(self.net + '.100')}"
         self.address = address
-        await asyncio.start_server(self.serve, *address.rsplit(":", 1))
+        await asyncio.start_server(self.serve, sock=self.endpoint_socket())
         store.put("op/config", self.manifest)
         self.list_endpoint()
         self.router = Router(str(BUILD / "peridot-router"), self.folder,
@@ -86,6 +90,17 @@
                 pass
         raise RuntimeError("the router did not become ready")
 
+    def endpoint_socket(self):
+        """Returns the socket on which the endpoint listens."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.receive_bytes:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                self.receive_bytes)
+        host, port = self.address.rsplit(":", 1)
+        listener.bind((host, int(port)))
+        return listener
+
     def list_endpoint(self):
         """Writes the endpoint's entry, of a new start of it each time."""
         self.starts += 1
--- a/tests/system/stopping_streams_test.py
+++ b/tests/system/stopping_streams_test.py
@@ -107,7 +107,8 @@
 
 async def run(folder, play, engine, *arguments):
     """Plays one case with a new router."""
-    bench = Bench(NET, folder, "stream", serve, LIMIT_MS, engine)
+    bench = Bench(NET, folder, "stream", serve, timeout_ms=LIMIT_MS,
+                  engine=engine)
     await bench.start()
     faults = await play(bench, *arguments)
     try:
