A response takes no memory for the length that it declares

Cause: Beast's string body reserves the declared length, and the exception leaves the read operation outside of any coroutine.

Change: ArrivingBody appends what has arrived and reserves nothing.

--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -5,7 +5,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -14,6 +13,7 @@
 
 #include "libperidotreach/error.h"
 #include "libperidotreach/time.h"
+#include "runtime/arriving_body.h"
 #include "runtime/asio.h"
 #include "runtime/http_types.h"
 
@@ -94,9 +94,7 @@
  private:
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
-      parser_;
+  std::optional<boost::beast::http::response_parser<ArrivingBody>> parser_;
   std::string host_;
   bool request_started_ = false;
   bool response_complete_ = false;
--- a/tests/system/endless_bytes_test.py
+++ b/tests/system/endless_bytes_test.py
@@ -15,7 +15,8 @@
 MEMORY_MB = 88
 # A body of the largest size passes a loopback connection well within this.
 CLOSED_WITHIN_S = 4
-KINDS = ["head", "header", "chunk", "body", "plain-body", "event", "informational"]
+KINDS = ["head", "header", "chunk", "body", "plain-body", "declared", "event",
+         "informational"]
 
 
 class EndlessEndpoint:
@@ -40,6 +41,8 @@
             "chunk": head + b"Transfer-Encoding: chunked\r\n\r\n4;",
             "body": head + b"Transfer-Encoding: chunked\r\n\r\n",
             "plain-body": head + b"\r\n",
+            # More than any memory.
+            "declared": head + b"Content-Length: 99999999999\r\n\r\n",
             "event": head + b"Content-Type: text/event-stream\r\n\r\ndata: ",
             "informational": b"",
         }[kind]
