The memory of all responses of a process is bounded

Seen: 24 endless bodies at the same time took a router to 201 MB, of the 110 MB of the smallest VMs; the process would be killed with all its requests.

Cause: each response had a limit of its own, and nothing added them up.

Change: response_memory.h counts what is held of all responses. Control calls of engines are read up to 256 KiB, 32 KiB are read ahead.

--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -162,7 +162,7 @@
   while (true) {
     co_await exchange->wait_for_change();
     if (caller_disconnected_) break;
-    if (const auto response = exchange->take_response()) {
+    if (auto response = exchange->take_response()) {
       const bool stays_open = keep_alive && !node_.stopping();
       const bool is_head = exchange->request().method == "HEAD";
       open =
@@ -201,7 +201,7 @@
   }
 }
 
-awaitable<bool> CallerSession::write_response(const CallerResponse& response,
+awaitable<bool> CallerSession::write_response(CallerResponse& response,
                                               bool keep_alive, bool is_head) {
   http::response<http::string_body> message;
   message.version(kHttpVersion);
@@ -211,8 +211,8 @@
   }
   message.keep_alive(keep_alive);
   if (!is_head) {
-    message.body() = response.body;
-    message.content_length(response.body.size());
+    message.body() = std::move(response.body);
+    message.content_length(message.body().size());
   }
   error_code failed;
   stream_.expires_after(kWriteTimeout);
--- a/src/peridot-router/caller_session.h
+++ b/src/peridot-router/caller_session.h
@@ -40,8 +40,9 @@
   awaitable<bool> read_request(Parser& parser);
   awaitable<bool> serve(const std::shared_ptr<RequestExchange>& exchange,
                         bool keep_alive);
-  awaitable<bool> write_response(const CallerResponse& response,
-                                 bool keep_alive, bool is_head);
+  // Takes the body out of `response`.
+  awaitable<bool> write_response(CallerResponse& response, bool keep_alive,
+                                 bool is_head);
   awaitable<bool> write_response_head(const CallerResponse& head,
                                       bool keep_alive);
   awaitable<bool> write_chunk(std::string bytes, bool last);
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -64,6 +64,7 @@
   while (true) {
     const std::string bytes = co_await connection.read_some(kReadTimeout);
     attempt.response.body += bytes;
+    attempt.on_held(attempt.response.body.capacity());
     if (attempt.response.body.size() > kMaxBodyBytes)
       co_return make_ended(attempt, AttemptOutcome::kBroken, status);
     if (!bytes.empty()) continue;
@@ -107,6 +108,7 @@
       post(StreamEventReceived{attempt.params.request, attempt.params.attempt,
                                event.id});
     }
+    attempt.on_held(framer.partial_event_bytes() + exchange.buffered_bytes());
     if (framer.partial_event_bytes() > kMaxEventBytes) co_return broken;
     co_await exchange.wait_for_drain();
   }
--- a/src/peridot-router/endpoint_attempt.h
+++ b/src/peridot-router/endpoint_attempt.h
@@ -25,6 +25,8 @@
   bool is_request_sent = false;
   // The part of the response received so far, in the form sent to the caller.
   CallerResponse response;
+  // Called with the bytes that are held of the response when they change.
+  std::function<void(std::size_t)> on_held;
 };
 
 // Passes an event to the reducer.
--- a/src/peridot-router/request_exchange.h
+++ b/src/peridot-router/request_exchange.h
@@ -69,6 +69,9 @@
   std::optional<CallerResponse> take_head();
   std::string take_bytes();
 
+  // Bytes of the stream that the caller has not been sent yet.
+  std::size_t buffered_bytes() const { return buffered_bytes_.size(); }
+
   bool finished() const { return finished_; }
   bool aborted() const { return aborted_; }
   bool closed() const { return closed_; }
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -24,6 +24,10 @@
 // Time for an endpoint to free a copy.
 constexpr Millis kFreeCopyTimeout = kSecond;
 
+// Largest response of an endpoint to a control call, such as a copy or a
+// report.
+constexpr std::size_t kMaxControlBytes = 256U << 10U;
+
 // Interval at which engines are polled for their state while the store is
 // unreachable: a sixth of the shortest notice that they give before leaving.
 constexpr Millis kReportPollInterval = 300;
@@ -73,7 +77,9 @@
                    post(StoreReachabilityChanged{is_reachable});
                  },
                  [this](std::uint64_t era) { see_store_era(era); },
-                 coordination_handlers(), table_handlers()}) {}
+                 coordination_handlers(), table_handlers()}) {
+  response_memory_.limit = response_limit(settings_.memory_limit);
+}
 
 CoordinationHandlers RouterNode::coordination_handlers() {
   return {[this](const CopyLeaseGranted& lease) { post(lease); },
@@ -202,8 +208,8 @@
 
 awaitable<void> RouterNode::poll_endpoint(std::string id, HttpTarget target) {
   ClientRequest request = wire_format_.report_request();
-  const ClientResponse answer =
-      co_await fetch_response(io_, target, std::move(request), kReportTimeout);
+  const ClientResponse answer = co_await fetch_response(
+      io_, target, std::move(request), kReportTimeout, kMaxControlBytes);
   if (!answer.complete || !wire_format_.decode_report(answer.body).leaving)
     co_return;
   peers_.announce_endpoint_leaving(id, monotonic_now());
@@ -525,6 +531,7 @@
 
 void RouterNode::close_exchange(const RequestExchange& exchange) {
   exchanges_.erase(exchange.request_number());
+  release_response(response_memory_, exchange.request_number(), true);
 }
 
 void RouterNode::on_caller_disconnected(const RequestExchange& exchange) {
@@ -564,9 +571,13 @@
   auto attempt = std::make_shared<EndpointAttempt>(io_);
   const AttemptKey key{effect.request, effect.attempt};
   attempt->params = std::move(effect);
+  attempt->on_held = [this, key](std::size_t bytes) {
+    hold_response_bytes(key.first, bytes);
+  };
   attempts_[key] = attempt;
   const auto ended = [this, key](const std::exception_ptr&) {
     attempts_.erase(key);
+    release_response(response_memory_, key.first, false);
   };
   co_spawn(io_,
            run_attempt(attempt, exchange, wire_format_,
@@ -576,6 +587,25 @@
            ended);
 }
 
+void RouterNode::hold_response_bytes(std::uint64_t request, std::size_t bytes) {
+  hold_response(response_memory_, request, bytes);
+  while (const auto largest = response_to_end(response_memory_)) {
+    log(LogLevel::kWarning, "response_memory_exhausted",
+        {{"request", std::to_string(*largest)},
+         {"bytes",
+          std::to_string(response_memory_.responses.at(*largest).bytes)},
+         {"all_bytes", std::to_string(response_memory_.total)},
+         {"limit", std::to_string(response_memory_.limit)}});
+    release_response(response_memory_, *largest, false);
+    // The read that fails ends the attempt as broken.
+    for (auto attempt = attempts_.lower_bound({*largest, 0});
+         attempt != attempts_.end() && attempt->first.first == *largest;
+         ++attempt) {
+      attempt->second->connection.close();
+    }
+  }
+}
+
 void RouterNode::perform(const CancelAttempt& effect) {
   const auto found = attempts_.find({effect.request, effect.attempt});
   if (found == attempts_.end()) return;
@@ -588,6 +618,7 @@
   const auto attempt = attempts_.find({effect.request, effect.attempt});
   if (exchange == nullptr || attempt == attempts_.end()) return;
   metrics_.observe_first_byte(effect.first_byte);
+  complete_response(response_memory_, effect.request);
   exchange->set_response(std::move(attempt->second->response));
 }
 
@@ -631,8 +662,8 @@
                                             std::string id) {
   ClientRequest request = wire_format_.copy_request(effect, id);
   const HttpTarget target{effect.address, effect.port};
-  const ClientResponse answer =
-      co_await fetch_response(io_, target, std::move(request), kCopyTimeout);
+  const ClientResponse answer = co_await fetch_response(
+      io_, target, std::move(request), kCopyTimeout, kMaxControlBytes);
   CopyFinished event;
   event.request = effect.request;
   if (answer.complete) {
@@ -684,7 +715,8 @@
 awaitable<void> RouterNode::free_copy(FreeCopy effect) {
   ClientRequest request = wire_format_.free_copy_request(effect);
   const HttpTarget target{effect.address, effect.port};
-  co_await fetch_response(io_, target, std::move(request), kFreeCopyTimeout);
+  co_await fetch_response(io_, target, std::move(request), kFreeCopyTimeout,
+                          kMaxControlBytes);
 }
 
 void RouterNode::perform(const RecordDecision& effect) {
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "libperidotreach/routing/response_memory.h"
 #include "libperidotreach/routing/routing_reducer.h"
 #include "peridot-router/endpoint_attempt.h"
 #include "peridot-router/peer_exchange.h"
@@ -138,6 +139,9 @@
   void perform(const RecordDecision& effect);
 
   std::shared_ptr<RequestExchange> find_exchange(std::uint64_t request) const;
+  // Records the bytes held of a response and ends responses that exceed the
+  // memory for all of them.
+  void hold_response_bytes(std::uint64_t request, std::size_t bytes);
   // `source` is "store" or the VM of the peer that sent the change.
   void apply_changes(const std::string& table,
                      const std::vector<ItemChange>& changes,
@@ -188,6 +192,7 @@
   RouterMetrics metrics_;
   std::map<std::uint64_t, std::shared_ptr<RequestExchange>> exchanges_;
   std::map<AttemptKey, std::shared_ptr<EndpointAttempt>> attempts_;
+  ResponseMemory response_memory_;
   std::vector<std::weak_ptr<CallerSession>> sessions_;
   std::shared_ptr<tcp::acceptor> acceptor_;
   std::vector<decltype(RoutingEvent::body)> pending_events_;
--- a/src/peridot-router/router_settings.h
+++ b/src/peridot-router/router_settings.h
@@ -2,6 +2,7 @@
 
 // Settings of a router process. The code that reads them validates them.
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
   RetryBudgetLimits retry_limits;
   // Thousandths of a core that the process may use.
   std::uint32_t processor_share = 0;
+  // Bytes of memory that the process may use; 0 if unknown.
+  std::size_t memory_limit = 0;
   // Time from the stop signal until the platform kills the process.
   Millis stop_grace = 8 * kSecond;
   // Time for which callers may cache a response to an address look-up.
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -23,10 +23,7 @@
 
 // Bytes read ahead of the parser. It bounds what a server may send where no
 // body is due, such as a chunk header without end.
-constexpr std::size_t kMaxReadAheadBytes = 128U << 10U;
-
-// Largest response body that is read as a whole.
-constexpr std::size_t kMaxResponseBytes = 16u << 20u;
+constexpr std::size_t kMaxReadAheadBytes = 32U << 10U;
 
 // TCP keep-alive probes: an idle connection to an unreachable peer fails after
 // about four seconds.
@@ -160,8 +157,8 @@
 
 awaitable<ClientResponse> fetch_response(asio::io_context& io,
                                          HttpTarget target,
-                                         ClientRequest request,
-                                         Millis timeout) {
+                                         ClientRequest request, Millis timeout,
+                                         std::size_t max_bytes) {
   ClientResponse answer;
   HttpConnection connection(io);
   const Millis deadline = monotonic_now() + timeout;
@@ -182,7 +179,7 @@
     const std::string chunk = co_await connection.read_some(remaining);
     if (chunk.empty() && !connection.response_complete()) co_return answer;
     answer.body += chunk;
-    if (answer.body.size() > kMaxResponseBytes) co_return answer;
+    if (answer.body.size() > max_bytes) co_return answer;
   }
   answer.complete = true;
   co_return answer;
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -117,12 +117,15 @@
   std::string body;
 };
 
-// Sends a request on a new connection and reads the complete response.
-// Connecting and sending may take up to `timeout` each; reading ends `timeout`
-// after the start.
-awaitable<ClientResponse> fetch_response(asio::io_context& io,
-                                         HttpTarget target,
-                                         ClientRequest request, Millis timeout);
+// Largest response body that is read as a whole.
+inline constexpr std::size_t kMaxResponseBytes = 16U << 20U;
+
+// Sends a request on a new connection and reads the complete response, of at
+// most `max_bytes`. Connecting and sending may take up to `timeout` each;
+// reading ends `timeout` after the start.
+awaitable<ClientResponse> fetch_response(
+    asio::io_context& io, HttpTarget target, ClientRequest request,
+    Millis timeout, std::size_t max_bytes = kMaxResponseBytes);
 
 // Parses http://ADDRESS:PORT.
 Result<HttpTarget> parse_http_url(const std::string& url);
--- a/tests/system/endless_bytes_test.py
+++ b/tests/system/endless_bytes_test.py
@@ -13,6 +13,9 @@
 NET = "127.0.24"
 BLOCK = b"x" * 65536
 MEMORY_MB = 88
+# Endless responses at the same time, and the time in which all have ended.
+FLOOD = 24
+FLOOD_S = 10
 # A body of the largest size passes a loopback connection well within this.
 CLOSED_WITHIN_S = 4
 KINDS = ["head", "header", "chunk", "body", "plain-body", "declared", "event",
@@ -105,7 +108,40 @@
     return faults
 
 
+async def flood(folder, kind_of_route, kind):
+    """Plays many endless responses at the same time. Returns what went wrong."""
+    endpoint = EndlessEndpoint()
+    bench = Bench(NET, folder, kind_of_route, endpoint.serve)
+    await bench.start()
+    callers = [await bench.connect() for _ in range(FLOOD)]
+    for number, (_, writer) in enumerate(callers):
+        writer.write(request("/entry/" + kind, f"r-{number}"))
+    answers = asyncio.gather(*[read_message(reader) for reader, _ in callers])
+    highest, started = 0, time.monotonic()
+    while not answers.done() and time.monotonic() - started < FLOOD_S:
+        highest = max(highest, bench.memory_mb())
+        await asyncio.sleep(0.01)
+    faults = []
+    if highest > MEMORY_MB:
+        faults.append(f"{FLOOD} x {kind}: the router held {highest:.0f} MB")
+    if bench.router.process.returncode is not None:
+        faults.append(f"{FLOOD} x {kind}: the router ended")
+    elif not answers.done():
+        faults.append(f"{FLOOD} x {kind}: not all ended after {FLOOD_S} s")
+    answers.cancel()
+    await asyncio.gather(answers, return_exceptions=True)
+    for _, writer in callers:
+        writer.close()
+    await bench.stop()
+    return faults
+
+
 found = []
+for flood_route, flood_kind in (("non_idempotent", "plain-body"),
+                                ("non_idempotent", "body"),
+                                ("stream", "event")):
+    with tempfile.TemporaryDirectory() as directory:
+        found += asyncio.run(flood(directory, flood_route, flood_kind))
 with tempfile.TemporaryDirectory() as directory:
     found += asyncio.run(run(directory, "non_idempotent", KINDS[:-2] +
                              KINDS[-1:]))
