An entry that names no start does not count as a restart of its endpoint

Cause: missing seq and born were read as 0, and another start time is taken for a restart, which forgets that the endpoint leaves.

--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -54,9 +54,12 @@
 
 void apply(const RoutingContext& context, const EndpointListed& event) {
   RoutingState& state = context.state;
-  const EndpointEntry& entry = event.entry;
+  EndpointEntry entry = event.entry;
   const auto found = state.endpoints.find(entry.id);
   const bool is_known = found != state.endpoints.end();
+  // An entry that names no start is of the one that is known.
+  if (is_known && entry.started_at_ms == 0)
+    entry.started_at_ms = found->second.entry.started_at_ms;
   const bool has_restarted =
       is_known && found->second.entry.started_at_ms != entry.started_at_ms;
   if (!is_known || has_restarted) {
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -122,6 +122,8 @@
     CHECK_FALSE(with("\"seq\":4", "\"seq\":" + std::string(number)));
   }
   CHECK_FALSE(with("\"engines\"", "null"));
+  // Without its place in the order of entries, it could undo a newer one.
+  CHECK_FALSE(with("\"seq\":4", "\"other\":4"));
   CHECK_FALSE(with("1783720206030", "\"x\""));
   fuzz(valid, [](const std::string& text) { decode_endpoint("i", text); });
 }
--- a/tests/routing/store_recovery_test.cc
+++ b/tests/routing/store_recovery_test.cc
@@ -131,6 +131,32 @@
   CHECK(is_available(router, "e1"));
 }
 
+// An entry of another writer, without the time of the start, was taken for a
+// restart, and the endpoint that was about to exit got requests again.
+TEST_CASE("an entry that names no start does not make a leaving endpoint ready",
+          "[routing]") {
+  RouterHarness router;
+  EndpointEntry entry = sample_endpoint("e1", "engines");
+  entry.started_at_ms = 1000;
+  entry.sequence = 7;
+  router.apply(EndpointListed{entry});
+  entry.leaving = true;
+  entry.sequence = 8;
+  router.apply(EndpointListed{entry});
+  EndpointEntry odd = sample_endpoint("e1", "engines");
+  odd.started_at_ms = 0;
+  odd.sequence = GENERATE(0u, 9u);
+  router.apply(EndpointListed{odd});
+  CHECK_FALSE(is_available(router, "e1"));
+  entry.sequence = 10;
+  router.apply(EndpointListed{entry});
+  CHECK_FALSE(is_available(router, "e1"));
+  entry.started_at_ms = 2000;
+  entry.leaving = false;
+  router.apply(EndpointListed{entry});
+  CHECK(is_available(router, "e1"));
+}
+
 TEST_CASE("an endpoint that announces its leave gets no new requests",
           "[routing]") {
   RouterHarness router;
