Requests with an unknown transfer coding are rejected with 400

Change: has_known_transfer_coding accepts none or chunks alone; both HTTP servers answer 400 to others and close the connection.

--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -11,6 +11,7 @@
 #include "peridot-router/router_node.h"
 #include "runtime/http_server.h"
 #include "runtime/socket_state.h"
+#include "runtime/transfer_coding.h"
 
 namespace peridotreach {
 namespace {
@@ -20,6 +21,8 @@
 
 constexpr unsigned kHttpVersion = 11;
 
+constexpr unsigned kBadRequestStatus = 400;
+
 // Number of bytes read at once while waiting for a request; most requests fit.
 constexpr std::size_t kReadBytes = 4096;
 
@@ -45,7 +48,7 @@
 unsigned status_for(error_code reason) {
   if (reason == http::error::header_limit) return 431;
   if (reason == http::error::body_limit) return 413;
-  return 400;
+  return kBadRequestStatus;
 }
 
 }  // namespace
@@ -92,6 +95,11 @@
   co_await http::async_read_header(
       stream_, buffer_, parser,
       asio::redirect_error(asio::use_awaitable, failed));
+  if (!failed && !has_known_transfer_coding(parser.get())) {
+    // Where its body ends, and the next request begins, is unknown.
+    co_await reject_unreadable(kBadRequestStatus);
+    co_return false;
+  }
   if (!failed && !parser.is_done()) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> interim_response(http::status::continue_,
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "runtime/log.h"
+#include "runtime/transfer_coding.h"
 
 namespace peridotreach {
 namespace {
@@ -69,6 +70,8 @@
     error_code ec;
     co_await http::async_read(stream, buffer, *parser,
                               asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && !has_known_transfer_coding(parser->get()))
+      ec = http::error::bad_transfer_encoding;
     if (ec) {
       if (is_answerable_read_error(ec))
         co_await respond_to_read_error(stream, ec);
--- a/tests/system/router_input_test.py
+++ b/tests/system/router_input_test.py
@@ -66,7 +66,20 @@
     return request("/entry/outer", extra, body=inner)
 
 
+def smuggled_by(coding):
+    """Returns a request with a second one in its body, whose end the transfer
+    coding does not tell."""
+    outer = smuggled([("Transfer-Encoding", coding)])
+    start = outer.index(b"Content-Length:")
+    return outer[:start] + outer[outer.index(b"\r\n", start) + 2:]
+
+
 CALLERS = [
+    ("a coding that is not chunked", smuggled_by("gzip"), {400}),
+    ("the identity coding", smuggled_by("identity"), {400}),
+    ("chunks that are no last coding", smuggled_by("chunked, identity"), {400}),
+    ("chunks of an encoded body", smuggled_by("gzip, chunked"), {400}),
+    ("two codings", smuggled_by("gzip\r\nTransfer-Encoding: chunked"), {400}),
     ("both lengths", smuggled([("Transfer-Encoding", "chunked")]), {400}),
     ("two lengths", smuggled([("Content-Length", "1")]), {400}),
     ("a length that is none", request("/entry/x").replace(
