--- a/src/runtime/control_link.cc
+++ b/src/runtime/control_link.cc
@@ -125,7 +125,7 @@
   const std::string endpoint =
       "tcp://" + address + ":" + (port == 0 ? "*" : std::to_string(port));
   try {
-    router_->socket.bind(endpoint);
+    retry_if_interrupted([&] { router_->socket.bind(endpoint); });
   } catch (const zmq::error_t& e) {
     return Error{ErrorKind::kUnavailable,
                  "cannot listen on " + endpoint + ": " + e.what(),
@@ -191,7 +191,7 @@
       std::make_shared<Socket>(io_, context_, zmq::socket_type::dealer);
   configure(dealer->socket);
   configure_curve(dealer->socket, false);
-  dealer->socket.connect(endpoint);
+  retry_if_interrupted([&] { dealer->socket.connect(endpoint); });
   dealers_[endpoint] = dealer;
   start_event_wait(dealer);
   return dealer;
