--- a/src/runtime/arriving_body.h
+++ b/src/runtime/arriving_body.h
@@ -19,10 +19,10 @@
   using value_type = std::string;
 
   // Appends what the parser passes on.
-  class reader {
+  class Reader {
    public:
     template <bool is_request, class Fields>
-    reader(boost::beast::http::header<is_request, Fields>&, value_type& body)
+    Reader(boost::beast::http::header<is_request, Fields>&, value_type& body)
         : body_(body) {}
 
     void init(const boost::optional<std::uint64_t>&, error_code& failed) {
@@ -47,6 +47,9 @@
    private:
     value_type& body_;
   };
+
+  // The name that Boost.Beast requires.
+  using reader = Reader;
 };
 
 }  // namespace peridotreach
