--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -162,7 +162,13 @@
 
 bool accepts_new_requests(const EndpointState& endpoint, Millis now) {
   return endpoint.listed && endpoint.leaving_since == 0 &&
-         endpoint.ejected_until <= now && endpoint.declined_until <= now;
+         endpoint.zone_closed_since == 0 && endpoint.ejected_until <= now &&
+         endpoint.declined_until <= now;
+}
+
+bool may_continue_generations(const EndpointState& endpoint, Millis now) {
+  return endpoint.zone_closed_since == 0 ||
+         now - endpoint.zone_closed_since < kClosedZoneGrace;
 }
 
 std::string choose_endpoint(const RoutingState& state,
@@ -220,6 +226,7 @@
     if (endpoint.declined_until <= state.now) continue;
     if (endpoint.entry.service != criteria.service) continue;
     if (!endpoint.listed || endpoint.leaving_since != 0) continue;
+    if (endpoint.zone_closed_since != 0) continue;
     if (!earliest || endpoint.declined_until < *earliest)
       earliest = endpoint.declined_until;
   }
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -79,10 +79,15 @@
 std::vector<std::string> avoided_endpoints(const RoutingState& state,
                                            const std::string& service);
 
-// Returns whether the endpoint is listed, not leaving, not ejected, and has not
-// asked for a pause.
+// Returns whether the endpoint is listed, not leaving, in an open availability
+// zone, not ejected, and has not asked for a pause.
 bool accepts_new_requests(const EndpointState& endpoint, Millis now);
 
+// Returns whether a generation that runs already may be sent to the endpoint. A
+// generation that was stopped for a move is not lost for a closing of its zone
+// that has just become known.
+bool may_continue_generations(const EndpointState& endpoint, Millis now);
+
 // Returns the failure rate of an endpoint, decayed to `now`.
 double failure_rate_at(const EndpointState& endpoint, Millis now);
 
--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -8,6 +8,7 @@
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/peer_view.h"
 #include "libperidotreach/routing/placement_queue.h"
+#include "libperidotreach/routing/rendezvous.h"
 #include "libperidotreach/routing/routing_steps.h"
 
 namespace peridotreach {
@@ -117,6 +118,24 @@
   return requirements;
 }
 
+std::string cell_zone(const RoutingState& state) {
+  const bool is_own_cell = state.closed_zones.empty() ||
+                           !state.closed_zones.contains(state.config.zone) ||
+                           process_count(state) <= kMaxSingleCellPeers + 1;
+  if (is_own_cell) return "";
+  std::string chosen;
+  std::uint64_t highest = 0;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    const std::string& zone = endpoint.entry.zone;
+    if (zone == chosen || endpoint.zone_closed_since != 0) continue;
+    const std::uint64_t weight = rendezvous_weight(zone, state.config.vm);
+    if (!chosen.empty() && weight <= highest) continue;
+    chosen = zone;
+    highest = weight;
+  }
+  return chosen;
+}
+
 namespace {
 
 void request_placement(const RoutingContext& context,
@@ -124,7 +143,8 @@
   request.placement_requested_at = context.state.now;
   request.coordinator_answered = false;
   context.effects.push_back(RequestPlacement{
-      request_number, placement_requirements(context.state, request)});
+      request_number, placement_requirements(context.state, request),
+      cell_zone(context.state)});
 }
 
 }  // namespace
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -41,6 +41,11 @@
   return found != state.endpoints.end() && found->second.leaving_since != 0;
 }
 
+bool is_in_closed_zone(const RoutingState& state, const std::string& endpoint) {
+  const auto found = state.endpoints.find(endpoint);
+  return found != state.endpoints.end() && found->second.zone_closed_since != 0;
+}
+
 void request_copy(const RoutingContext& context, std::uint64_t request_number,
                   RequestState& request, bool stop_source) {
   if (stop_source) request.stop_ordered = true;
@@ -123,7 +128,8 @@
   request.move.phase = MovePhase::kAwaitingTarget;
   request.move.target_requested_at = context.state.now;
   context.effects.push_back(RequestPlacement{
-      request_number, move_requirements(context.state, request)});
+      request_number, move_requirements(context.state, request),
+      cell_zone(context.state)});
 }
 
 void start_copy(const RoutingContext& context, std::uint64_t request_number,
@@ -159,6 +165,20 @@
   postpone_move(context, request_number, request);
 }
 
+// Returns where a generation that `source` stopped goes on: at the target of
+// its move, or at the source if the target's zone was closed meanwhile. Empty
+// if neither may get it.
+std::string endpoint_to_resume_at(const RoutingState& state,
+                                  const std::string& source,
+                                  const std::string& target) {
+  for (const std::string& id : {target, source}) {
+    const auto found = state.endpoints.find(id);
+    if (found == state.endpoints.end()) continue;
+    if (may_continue_generations(found->second, state.now)) return id;
+  }
+  return "";
+}
+
 // Resumes at the target once everything is copied and the source's stream has
 // ended or delivered all of its events.
 void resume_if_ready(const RoutingContext& context,
@@ -168,6 +188,12 @@
   const bool drained =
       move.source_ended || request.last_event_id >= move.events_made;
   if (!drained) return;
+  const std::string resumed_at =
+      endpoint_to_resume_at(context.state, request.endpoint, move.target);
+  if (resumed_at.empty()) {
+    break_off_request(context, request_number, "availability zone closed");
+    return;
+  }
   const EndpointEntry& source =
       context.state.endpoints.at(request.endpoint).entry;
   KvCacheSource kv_cache{source.address, source.port, move.handle,
@@ -177,7 +203,7 @@
   }
   record_decision(context, "move_resumed", request_number,
                   {{"from", request.endpoint},
-                   {"to", move.target},
+                   {"to", resumed_at},
                    {"last_event", std::to_string(request.last_event_id)},
                    {"events_made", std::to_string(move.events_made)}});
   clear_move(context, request_number, request);
@@ -185,10 +211,23 @@
   request.previous_endpoint = request.endpoint;
   request.previous_kv_cache = kv_cache;
   request.move_count += 1;
-  start_attempt(context, request_number, request, move.target,
+  start_attempt(context, request_number, request, resumed_at,
                 std::move(kv_cache));
 }
 
+// Releases a copy that was not used, at the source and, as the source may be
+// gone, at the target.
+void free_copies(const RoutingContext& context, const RequestState& request) {
+  const GenerationMove& move = request.move;
+  if (!move.has_copy || move.phase == MovePhase::kResuming) return;
+  for (const std::string& id : {move.target, request.endpoint}) {
+    const EndpointState* endpoint = find_endpoint(context, id);
+    if (endpoint == nullptr) continue;
+    context.effects.push_back(
+        FreeCopy{endpoint->entry.address, endpoint->entry.port, move.handle});
+  }
+}
+
 void on_first_copy_finished(const RoutingContext& context,
                             std::uint64_t request_number, RequestState& request,
                             unsigned status) {
@@ -196,6 +235,12 @@
     fail_move(context, request_number, request, status);
     return;
   }
+  if (is_in_closed_zone(context.state, request.move.target)) {
+    free_copies(context, request);
+    request.move.has_copy = false;
+    fail_move(context, request_number, request, kHttpServiceUnavailable);
+    return;
+  }
   request.move.phase = MovePhase::kStopping;
   request_copy(context, request_number, request, true);
 }
@@ -225,19 +270,6 @@
   resume_if_ready(context, request_number, request);
 }
 
-// Releases a copy that was not used, at the source and, as the source may be
-// gone, at the target.
-void free_copies(const RoutingContext& context, const RequestState& request) {
-  const GenerationMove& move = request.move;
-  if (!move.has_copy || move.phase == MovePhase::kResuming) return;
-  for (const std::string& id : {move.target, request.endpoint}) {
-    const EndpointState* endpoint = find_endpoint(context, id);
-    if (endpoint == nullptr) continue;
-    context.effects.push_back(
-        FreeCopy{endpoint->entry.address, endpoint->entry.port, move.handle});
-  }
-}
-
 }  // namespace
 
 bool return_to_previous_endpoint(const RoutingContext& context,
@@ -245,7 +277,9 @@
                                  RequestState& request) {
   const std::string source = std::exchange(request.previous_endpoint, "");
   if (source.empty() || source == request.endpoint) return false;
-  if (find_endpoint(context, source) == nullptr) return false;
+  const EndpointState* endpoint = find_endpoint(context, source);
+  if (endpoint == nullptr) return false;
+  if (!may_continue_generations(*endpoint, context.state.now)) return false;
   record_decision(context, "move_undone", request_number,
                   {{"from", request.endpoint}, {"to", source}});
   overdraw_permits(context, source);
@@ -274,7 +308,9 @@
                       std::uint64_t request_number, RequestState& request,
                       const std::string& target) {
   const EndpointState* endpoint = find_endpoint(context, target);
-  if (endpoint == nullptr || endpoint->leaving_since != 0) {
+  const bool is_usable = endpoint != nullptr && endpoint->leaving_since == 0 &&
+                         endpoint->zone_closed_since == 0;
+  if (!is_usable) {
     postpone_move(context, request_number, request);
     return;
   }
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -117,6 +117,8 @@
 struct RequestPlacement {
   std::uint64_t request = 0;
   PlacementRequirements requirements;
+  // The availability zone whose cell is asked; empty for this process's own.
+  std::string cell_zone;
 };
 
 // Answers another process's placement request.
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -52,6 +52,19 @@
   std::string source;
 };
 
+// An operator has closed an availability zone, or opened it again. `revision`
+// is that of the manifest's table; `source` is "store" or the peer's VM.
+struct ZoneClosed {
+  std::string zone;
+  StoreRevision revision;
+  std::string source;
+};
+struct ZoneOpened {
+  std::string zone;
+  StoreRevision revision;
+  std::string source;
+};
+
 // Service discovery added an endpoint or updated its entry.
 struct EndpointListed {
   EndpointEntry entry;
@@ -326,10 +339,10 @@
 struct RoutingEvent {
   Millis at = 0;
   std::uint64_t random = 0;
-  std::variant<ManifestReceived, EndpointListed, EndpointUnlisted,
-               EndpointLeaving, EndpointAnswered, StoreReachabilityChanged,
-               StoreEraSeen, RetryLimitsChanged, RequestArrived,
-               CallerDisconnected, AttemptEnded, StreamOpened,
+  std::variant<ManifestReceived, ZoneClosed, ZoneOpened, EndpointListed,
+               EndpointUnlisted, EndpointLeaving, EndpointAnswered,
+               StoreReachabilityChanged, StoreEraSeen, RetryLimitsChanged,
+               RequestArrived, CallerDisconnected, AttemptEnded, StreamOpened,
                StreamEventReceived, CopyFinished, CopyLeaseGranted,
                CopyLeaseQueued, PlacementRequested, PlacementAnswered,
                ForwardedPlacementGranted, PermitsRequested, PermitsAnswered,
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -34,6 +34,56 @@
   record_decision(context, "manifest_taken", 0, std::move(fields));
 }
 
+// Marks the endpoints of `zone` as closed since `closed_since`, or as open if
+// it is 0.
+void mark_zone(RoutingState& state, const std::string& zone,
+               Millis closed_since) {
+  for (auto& [id, endpoint] : state.endpoints) {
+    if (endpoint.entry.zone == zone) endpoint.zone_closed_since = closed_since;
+  }
+}
+
+Millis zone_closed_since(const RoutingState& state, const std::string& zone) {
+  const auto found = state.closed_zones.find(zone);
+  return found == state.closed_zones.end() ? 0 : found->second.closed_at;
+}
+
+void apply(const RoutingContext& context, const ZoneClosed& event) {
+  RoutingState& state = context.state;
+  if (!close_zone(state.closed_zones, event.zone, event.revision, state.now))
+    return;
+  mark_zone(state, event.zone, state.now);
+  record_decision(context, "zone_closed", 0,
+                  {{"zone", event.zone},
+                   {"revision", format_revision(event.revision)},
+                   {"source", event.source}});
+  place_waiting_requests(context);
+}
+
+void record_zone_opened(const RoutingContext& context, const std::string& zone,
+                        const std::string& revision, const std::string& cause) {
+  mark_zone(context.state, zone, 0);
+  record_decision(context, "zone_opened", 0,
+                  {{"zone", zone}, {"revision", revision}, {"source", cause}});
+}
+
+void apply(const RoutingContext& context, const ZoneOpened& event) {
+  RoutingState& state = context.state;
+  if (!open_zone(state.closed_zones, event.zone, event.revision, state.now))
+    return;
+  record_zone_opened(context, event.zone, format_revision(event.revision),
+                     event.source);
+  place_queued_requests(context);
+}
+
+// Opens the zones whose closings a restored store has lost.
+void open_lost_zones(const RoutingContext& context) {
+  RoutingState& state = context.state;
+  for (const std::string& zone :
+       open_missing_zones(state.closed_zones, state.now))
+    record_zone_opened(context, zone, "", "restored store lacks the closing");
+}
+
 void mark_leaving(const RoutingContext& context, EndpointState& endpoint,
                   const char* cause) {
   if (endpoint.leaving_since != 0) return;
@@ -83,6 +133,7 @@
   endpoint.listed = true;
   endpoint.was_removed = false;
   endpoint.entry_missing_since = 0;
+  endpoint.zone_closed_since = zone_closed_since(state, entry.zone);
   endpoint.warm_up_until = state.now + entry.remaining_warm_up;
   if (entry.leaving) mark_leaving(context, endpoint, "notice");
   const bool is_back =
@@ -316,6 +367,7 @@
   end_overdue_requests(context);
   end_requests_at_stop(context);
   drop_missing_endpoints(context);
+  open_lost_zones(context);
   expire_permits(context);
   place_queued_requests(context);
   place_waiting_requests(context);
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -11,6 +11,7 @@
 
 #include "libperidotreach/length_model.h"
 #include "libperidotreach/quarantine.h"
+#include "libperidotreach/routing/closed_zones.h"
 #include "libperidotreach/routing/endpoint_limit.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/placement_queue.h"
@@ -47,6 +48,8 @@
   Millis leaving_since = 0;
   // Whether it said so itself, which holds until it starts anew.
   bool announced_leaving = false;
+  // When its availability zone was closed; 0 if that is open.
+  Millis zone_closed_since = 0;
   Millis warm_up_until = 0;
   // Decaying share of failures among recent answers, from 0 to 1.
   double failure_rate = 0;
@@ -239,6 +242,7 @@
   // The shortest first-byte objective of the manifest's stream routes; 0 if it
   // has none.
   Millis shortest_stream_slo = 0;
+  ClosedZones closed_zones;
   std::map<std::string, EndpointState> endpoints;
   std::map<std::uint64_t, RequestState> requests;
   std::vector<PlacementReservation> reservations;
--- a/src/peridot-router/coordination.cc
+++ b/src/peridot-router/coordination.cc
@@ -62,11 +62,12 @@
 }
 
 std::string Coordination::placement_coordinator_of(const std::string& service,
+                                                   const std::string& cell_zone,
                                                    Millis now) const {
   if (!link_.topology().uses_relays)
     return placement_coordinator(link_.view(), link_.self(), service, now);
-  const std::vector<std::string> relays =
-      relays_of(link_.topology(), link_.self().zone);
+  const std::string& zone = cell_zone.empty() ? link_.self().zone : cell_zone;
+  const std::vector<std::string> relays = relays_of(link_.topology(), zone);
   return relays.empty() ? link_.self().vm : relays.front();
 }
 
@@ -162,8 +163,8 @@
 
 void Coordination::request_placement(const RequestPlacement& effect,
                                      Millis now) {
-  const std::string coordinator =
-      placement_coordinator_of(effect.requirements.service, now);
+  const std::string coordinator = placement_coordinator_of(
+      effect.requirements.service, effect.cell_zone, now);
   if (coordinator == link_.self().vm) {
     handlers_.on_placement_requested(PlacementRequested{
         link_.self().vm, effect.request, effect.requirements, ""});
--- a/src/peridot-router/coordination.h
+++ b/src/peridot-router/coordination.h
@@ -71,7 +71,9 @@
                              const proto::PermitMessage& permits, Millis now);
 
  private:
+  // `cell_zone` is empty for the cell of this process.
   std::string placement_coordinator_of(const std::string& service,
+                                       const std::string& cell_zone,
                                        Millis now) const;
   void notify_lease_granted(const GrantedCopyLease& granted, Millis now);
   void send_lease_message(const std::string& vm,
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -409,9 +409,10 @@
                      });
 }
 
-bool RouterNode::stays(const std::string& table, const std::string& held,
-                       const std::string* incoming) {
+bool RouterNode::stays(const std::string& table, const std::string& key,
+                       const std::string& held, const std::string* incoming) {
   if (table == kManifestTable) {
+    if (table_decoders_.closed_zone(key)) return false;
     if (incoming == nullptr) return true;
     Result<Manifest> decoded = table_decoders_.manifest(*incoming);
     if (!ok(decoded)) {
@@ -438,9 +439,9 @@
       [this, table, source](const std::string& key, const std::string* now) {
         on_item_changed(table, key, now, source);
       },
-      [this, table](const std::string&, const std::string& held,
+      [this, table](const std::string& key, const std::string& held,
                     const std::string* incoming) {
-        return stays(table, held, incoming);
+        return stays(table, key, held, incoming);
       }};
 }
 
@@ -482,6 +483,15 @@
                                  const std::string* value,
                                  const std::string& source) {
   if (table == kManifestTable) {
+    if (const auto zone = table_decoders_.closed_zone(key)) {
+      const StoreRevision& revision = tables_[table].revision;
+      if (value != nullptr) {
+        post(ZoneClosed{*zone, revision, source});
+      } else {
+        post(ZoneOpened{*zone, revision, source});
+      }
+      return;
+    }
     if (value == nullptr) return;
     std::optional<Manifest> decoded =
         std::exchange(decoded_manifest_, std::nullopt);
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,9 @@
   std::function<Result<EndpointEntry>(const std::string& key,
                                       const std::string& value)>
       endpoint;
+  // Returns the availability zone that an item of the manifest's table closes,
+  // none if the item is the manifest.
+  std::function<std::optional<std::string>(const std::string& key)> closed_zone;
 };
 
 // The router of one VM.
@@ -153,8 +157,8 @@
                              const std::string& source);
   // Returns whether an item stays as it is, as `incoming` is older by its
   // content.
-  bool stays(const std::string& table, const std::string& held,
-             const std::string* incoming);
+  bool stays(const std::string& table, const std::string& key,
+             const std::string& held, const std::string* incoming);
   void on_item_changed(const std::string& table, const std::string& key,
                        const std::string* value, const std::string& source);
   awaitable<void> copy_generation(CopyGeneration effect, std::string id);
