Closed zones: requests that wait ask an open cell at once, and tests

Requests queued at the coordinator of a zone that is closed waited for its next refresh, and that coordinator could reject requests by the rate of placements of its own engines, which was none. Change: they ask the cell of an open zone with the event; the closed cell drops its queue and only passes on.

--- a/src/libperidotreach/routing/closed_zones.cc
+++ b/src/libperidotreach/routing/closed_zones.cc
@@ -1,7 +1,5 @@
 #include "libperidotreach/routing/closed_zones.h"
 
-#include <utility>
-
 namespace peridotreach {
 
 bool close_zone(ClosedZones& closed, const std::string& zone,
@@ -14,27 +12,28 @@
   return is_new;
 }
 
-bool open_zone(ClosedZones& closed, const std::string& zone,
-               const StoreRevision& revision, Millis now) {
+std::optional<ZoneClosing> open_zone(ClosedZones& closed,
+                                     const std::string& zone,
+                                     const StoreRevision& revision,
+                                     Millis now) {
   const auto found = closed.find(zone);
-  if (found == closed.end()) return false;
+  if (found == closed.end()) return std::nullopt;
   ZoneClosing& closing = found->second;
   if (revision.era > closing.revision.era) {
     if (closing.missing_since == 0) closing.missing_since = now;
-    return false;
+    return std::nullopt;
   }
-  closed.erase(found);
-  return true;
+  return closed.extract(found).mapped();
 }
 
-std::vector<std::string> open_missing_zones(ClosedZones& closed, Millis now) {
-  std::vector<std::string> opened;
+ClosedZones open_missing_zones(ClosedZones& closed, Millis now) {
+  ClosedZones opened;
   for (const auto& [zone, closing] : closed) {
     if (closing.missing_since == 0) continue;
     if (now - closing.missing_since < kClosingReturnTimeout) continue;
-    opened.push_back(zone);
+    opened.emplace(zone, closing);
   }
-  for (const std::string& zone : opened) closed.erase(zone);
+  for (const auto& [zone, closing] : opened) closed.erase(zone);
   return opened;
 }
 
--- a/src/libperidotreach/routing/closed_zones.h
+++ b/src/libperidotreach/routing/closed_zones.h
@@ -5,8 +5,8 @@
 // manifest's table, so it reaches processes in the ways that the manifest does.
 
 #include <map>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "libperidotreach/routing/store_revision.h"
 #include "libperidotreach/time.h"
@@ -42,12 +42,14 @@
                 const StoreRevision& revision, Millis now);
 
 // Opens `zone`, unless its closing may only have been lost with a restoration
-// of the store. Returns whether it is open from now on and was not before.
-bool open_zone(ClosedZones& closed, const std::string& zone,
-               const StoreRevision& revision, Millis now);
+// of the store. Returns the closing that has ended, none if it goes on or the
+// zone was open.
+std::optional<ZoneClosing> open_zone(ClosedZones& closed,
+                                     const std::string& zone,
+                                     const StoreRevision& revision, Millis now);
 
 // Opens the zones whose closings have not been written again after a
-// restoration of the store. Returns them.
-std::vector<std::string> open_missing_zones(ClosedZones& closed, Millis now);
+// restoration of the store. Returns these closings.
+ClosedZones open_missing_zones(ClosedZones& closed, Millis now);
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/placement_coordinator.cc
+++ b/src/libperidotreach/routing/placement_coordinator.cc
@@ -296,6 +296,8 @@
 // request would time out in the queue; 0 if it should stay queued.
 Millis retry_after_rejection(const RoutingState& state,
                              const WaitingPlacement& waiting) {
+  // A coordinator whose zone is closed only passes requests on.
+  if (!cell_zone(state).empty()) return 0;
   const Millis wait_left = waiting.requirements.wait_left;
   if (wait_left == 0 || is_prioritized(waiting.requirements)) return 0;
   const std::optional<Millis> wait = expected_wait(
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -48,40 +48,71 @@
   return found == state.closed_zones.end() ? 0 : found->second.closed_at;
 }
 
+// Returns how many requests of this process run in `zone`.
+std::uint64_t running_in_zone(const RoutingState& state,
+                              const std::string& zone) {
+  std::uint64_t running = 0;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    if (endpoint.entry.zone != zone) continue;
+    running += endpoint.own_usage.running_requests;
+  }
+  return running;
+}
+
+// Lets the requests that wait for a placement in this process's cell, which has
+// been closed, ask the cell of an open zone at once. The queue of the closed
+// cell is dropped, so that no request is placed twice; processes that do not
+// know of the closing ask again.
+void ask_other_cell(RoutingState& state) {
+  if (cell_zone(state).empty()) return;
+  state.placement_queue.clear();
+  for (auto& [request_number, request] : state.requests) {
+    if (request.placement_deadline != 0) request.placement_requested_at = 0;
+  }
+}
+
 void apply(const RoutingContext& context, const ZoneClosed& event) {
   RoutingState& state = context.state;
   if (!close_zone(state.closed_zones, event.zone, event.revision, state.now))
     return;
   mark_zone(state, event.zone, state.now);
-  record_decision(context, "zone_closed", 0,
-                  {{"zone", event.zone},
-                   {"revision", format_revision(event.revision)},
-                   {"source", event.source}});
+  record_decision(
+      context, "zone_closed", 0,
+      {{"zone", event.zone},
+       {"revision", format_revision(event.revision)},
+       {"source", event.source},
+       {"running", std::to_string(running_in_zone(state, event.zone))}});
+  if (event.zone == state.config.zone) ask_other_cell(state);
   place_waiting_requests(context);
 }
 
 void record_zone_opened(const RoutingContext& context, const std::string& zone,
-                        const std::string& revision, const std::string& cause) {
+                        const ZoneClosing& closing, const std::string& cause) {
   mark_zone(context.state, zone, 0);
-  record_decision(context, "zone_opened", 0,
-                  {{"zone", zone}, {"revision", revision}, {"source", cause}});
+  record_decision(
+      context, "zone_opened", 0,
+      {{"zone", zone},
+       {"closing_revision", format_revision(closing.revision)},
+       {"closed_ms", std::to_string(context.state.now - closing.closed_at)},
+       {"source", cause}});
 }
 
 void apply(const RoutingContext& context, const ZoneOpened& event) {
   RoutingState& state = context.state;
-  if (!open_zone(state.closed_zones, event.zone, event.revision, state.now))
-    return;
-  record_zone_opened(context, event.zone, format_revision(event.revision),
-                     event.source);
+  const auto closing =
+      open_zone(state.closed_zones, event.zone, event.revision, state.now);
+  if (!closing) return;
+  record_zone_opened(context, event.zone, *closing, event.source);
   place_queued_requests(context);
 }
 
 // Opens the zones whose closings a restored store has lost.
 void open_lost_zones(const RoutingContext& context) {
   RoutingState& state = context.state;
-  for (const std::string& zone :
+  for (const auto& [zone, closing] :
        open_missing_zones(state.closed_zones, state.now))
-    record_zone_opened(context, zone, "", "restored store lacks the closing");
+    record_zone_opened(context, zone, closing,
+                       "restored store lacks the closing");
 }
 
 void mark_leaving(const RoutingContext& context, EndpointState& endpoint,
--- a/tests/routing/routing_property_test.cc
+++ b/tests/routing/routing_property_test.cc
@@ -61,6 +61,7 @@
     if (random_below(6) == 0) receive_update();
     if (random_below(3) != 0) answer_permits();
     if (random_below(12) == 0) change_limit();
+    if (random_below(10) == 0) change_zone();
     switch (random_below(10)) {
       case 0:
       case 1:
@@ -156,12 +157,24 @@
       return;
     }
     EndpointEntry entry =
-        samples::sample_endpoint(ids[choice], choice < 3 ? "engines" : "plain");
+        samples::sample_endpoint(ids[choice], choice < 3 ? "engines" : "plain",
+                                 choice % 2 == 0 && choice > 0 ? "b" : "a");
     entry.leaving = random_below(3) == 0;
     entry.started_at_ms = 1 + random_below(2);
     apply(EndpointListed{entry});
   }
 
+  // Zone a has all endpoints but e3 and p2.
+  void change_zone() {
+    const std::string zone = random_below(2) == 0 ? "a" : "b";
+    const StoreRevision revision{1 + random_below(2), last_revision_++};
+    if (random_below(3) == 0) {
+      apply(ZoneClosed{zone, revision, "store"});
+      return;
+    }
+    apply(ZoneOpened{zone, revision, "store"});
+  }
+
   // Windows are short, so that a sequence spans several of them.
   void change_retry_limits() {
     apply(RetryLimitsChanged{{0.1 * static_cast<double>(random_below(4)),
@@ -300,11 +313,21 @@
     const auto& target = router_.state.endpoints.at(effect.endpoint);
     CHECK(target.entry.service ==
           (observation.kind == CallKind::kStream ? "engines" : "plain"));
+    check_zone(target.entry.zone, resumes_generation);
     observation.may_have_run += 1;
     observation.open.insert(effect.attempt);
     check_budget(target.entry.service);
   }
 
+  // Checks that nothing is sent to a closed zone, except for generations that
+  // had been stopped for a move when it was closed.
+  void check_zone(const std::string& zone, bool resumes_generation) {
+    const auto closed = router_.state.closed_zones.find(zone);
+    if (closed == router_.state.closed_zones.end()) return;
+    CHECK(resumes_generation);
+    CHECK(router_.now - closed->second.closed_at < kClosedZoneGrace);
+  }
+
   // Checks that this process's retries stay within the limits of the whole
   // fleet. Counts from before a change of the limits may exceed the new ones.
   void check_budget(const std::string& service) {
@@ -398,6 +421,7 @@
   std::mt19937_64 random_;
   RouterHarness router_;
   std::uint64_t last_request_ = 0;
+  std::uint64_t last_revision_ = 1;
   std::map<std::uint64_t, RequestObservation> observations_;
   std::map<std::uint64_t, std::int64_t> last_event_ids_;
   std::set<std::pair<std::uint64_t, std::uint32_t>> opened_streams_;
