--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,7 @@
 # Bounds that the platform's pages state, and slack for a busy test machine.
 DRAIN_S = 2.0
 GRACE_S = 8.0
+CLOSED_S = 5.0
 SLACK_S = 2.0
 # Time for news to reach all routers; one that has just started learns later.
 NEWS_S = 1.0
@@ -122,6 +123,8 @@
         # Spans in which the store or routers were harmed.
         self.unsettled_spans = []
         self.restoring = False
+        # Closed zones: name, when the store confirmed it, when it was opened.
+        self.closings = []
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -361,8 +364,42 @@
                 self.list_endpoint(endpoint)
             else:
                 self.store.remove("servers/" + endpoint.name)
+        for closing in self.closings:
+            key = "op/evacuate/" + closing["zone"]
+            if closing["opened"] is not None:
+                self.store.remove(key)
+                continue
+            self.store.put(key, b"{}")
+            closing["confirmed"] = self.now()
         self.restoring = False
 
+    async def close_zone(self):
+        """A zone is emptied and taken back, at times closed again at once."""
+        if any(c["opened"] is None for c in self.closings):
+            return
+        zone = self.random.choice(ZONES)
+        key = "op/evacuate/" + zone
+        for _ in range(self.random.choice([1, 2])):
+            self.store.put(key, b"{}")
+            closing = {"zone": zone, "confirmed": self.now(), "opened": None}
+            self.closings.append(closing)
+            until = self.now() + self.random.uniform(CLOSED_S, 15.0)
+            while self.now() < until and not self.over:
+                await asyncio.sleep(0.1)
+            closing["opened"] = self.now()
+            self.store.remove(key)
+            await asyncio.sleep(0.05)
+
+    def closed_from(self, closing):
+        """Returns when all routers have to obey a closing. One that began
+        while the store or routers were harmed may be learnt after that."""
+        since = closing["confirmed"]
+        obeyed = since + CLOSED_S
+        for begun, ended in sorted(self.unsettled_spans):
+            if begun < obeyed and ended > since - NEWS_S:
+                obeyed = max(obeyed, ended + CLOSED_S)
+        return obeyed
+
     async def harm_endpoint(self):
         """An endpoint's connections are reset, silent or delayed."""
         proxy = self.random.choice(self.proxies)
@@ -471,6 +508,7 @@
         kinds = [self.harm_store, self.restore_store, self.harm_endpoint, self.kill_router,
                  self.stop_router, self.pause_router, self.reload_router,
                  self.change_manifest, self.change_manifest, self.cut_link,
+                 self.close_zone, self.close_zone,
                  lambda: self.leave_endpoint("engines"),
                  lambda: self.leave_endpoint("engines"),
                  lambda: self.leave_endpoint("plain")]
@@ -513,12 +551,27 @@
                        for begun, ended in self.unsettled_spans):
                 self.breaks("leaving endpoint", f"{endpoint.name} got a "
                             f"request {at - since:.1f} s after its notice")
+        self.check_closed_zones()
         for headers in self.book.headers_seen:
             if headers.get("x-api-key") or headers.get("kv-from") == "forged":
                 self.breaks("own headers", headers.get("kv-from", "key"))
             if headers.get("peridotreach-tenant") != "mill":
                 self.breaks("own headers", "the account is missing")
 
+    def check_closed_zones(self):
+        """No request reached a closed zone after the bound."""
+        for closing in self.closings:
+            obeyed = self.closed_from(closing)
+            self.counts["seconds of closed zones"] += max(
+                0, int(closing["opened"] - obeyed))
+            for at, endpoint in self.book.arrivals:
+                if endpoint.zone != closing["zone"]:
+                    continue
+                if obeyed < at < closing["opened"]:
+                    self.breaks("closed zone", f"{endpoint.name} got a request "
+                                f"{at - closing['confirmed']:.1f} s after the "
+                                "closing")
+
     async def run(self):
         """Runs the seed. Returns the broken promises."""
         await self.set_up()
