Learn the speed of engines and place long generations on fast ones

Change: processes measure the time of groups of events and of prefills, report it while engines differ, and the cost of an engine for a generation counts its slowness. Engines of unknown speed count as slow for long generations until a short one has shown their speed.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "libperidotreach/routing/routing_steps.h"
+
 namespace peridotreach {
 namespace {
 
@@ -36,6 +38,12 @@
 // objective.
 constexpr double kPrefillTokensPerFullCache = 10000;
 
+// Cost of an engine that takes twice the typical time, for a generation whose
+// output is not short: more than that of a full KV cache, as a prompt that a
+// slow engine prefills interrupts its generations for longer than callers
+// accept, and as slow generations hold their memory longer.
+constexpr double kSlownessCost = 1.5;
+
 // Range of the random cost that spreads the choices of several processes among
 // equal endpoints.
 constexpr double kMaxRandomCost = 0.02;
@@ -87,10 +95,22 @@
   return share + kMemoryShortageCost * std::max(0.0, share - 1.0);
 }
 
+// Returns the cost of the engine's slowness for the request: that of its own
+// prefill, and for a generation whose output is not short that of its output.
+double slowness_cost(const EndpointCriteria& criteria, double slowness) {
+  const double prefill =
+      static_cast<double>(criteria.prefill_tokens) / kPrefillTokensPerFullCache;
+  const double output =
+      has_short_output(criteria.projected_tokens, criteria.prefill_tokens)
+          ? 0
+          : kSlownessCost;
+  return (slowness - 1) * (prefill + output);
+}
+
 double endpoint_cost(const RoutingState& state, const EndpointState& endpoint,
                      const EndpointUsage& reserved,
-                     const EndpointCriteria& criteria,
-                     const EngineSpec* engine) {
+                     const EndpointCriteria& criteria, const EngineSpec* engine,
+                     double slowness) {
   const double batch =
       static_cast<double>(endpoint.own_usage.running_requests +
                           endpoint.peer_usage.running_requests +
@@ -100,7 +120,9 @@
   if (engine != nullptr && criteria.projected_tokens > 0) {
     const auto prefill =
         static_cast<double>(pending_prefill(endpoint, reserved));
-    sum = kBatchWeight * batch + prefill / kPrefillTokensPerFullCache +
+    sum = kBatchWeight * batch +
+          slowness * prefill / kPrefillTokensPerFullCache +
+          slowness_cost(criteria, slowness) +
           memory_cost(memory_share(endpoint, reserved, *engine,
                                    criteria.projected_tokens));
   }
@@ -168,6 +190,9 @@
 std::string choose_endpoint(const RoutingState& state,
                             const EndpointCriteria& criteria) {
   const EngineSpec* engine = find_engine_spec(state, criteria.service);
+  const bool is_generation = engine != nullptr && criteria.projected_tokens > 0;
+  const ServiceSpeeds speeds =
+      is_generation ? service_speeds(state, criteria.service) : ServiceSpeeds();
   std::string best;
   double lowest_cost = 0;
   for (const auto& [id, endpoint] : state.endpoints) {
@@ -192,7 +217,8 @@
       continue;
     }
     const double cost =
-        endpoint_cost(state, endpoint, reserved, criteria, engine) +
+        endpoint_cost(state, endpoint, reserved, criteria, engine,
+                      slowness(speeds, endpoint.speed)) +
         kMaxRandomCost * random_fraction(id, state.random);
     if (!best.empty() && cost >= lowest_cost) continue;
     best = id;
@@ -273,14 +299,18 @@
   return has_engine ? &*found->second.engine : nullptr;
 }
 
-bool is_prioritized(const PlacementRequirements& requirements) {
-  // A request is short if its output is less than this fraction of its prompt:
-  // generating a twentieth takes about as long as prefilling the prompt.
+bool has_short_output(std::uint64_t projected_tokens,
+                      std::uint64_t prefill_tokens) {
+  // Generating a twentieth of the prompt takes about as long as prefilling it.
   constexpr std::uint64_t kPromptPerShortOutput = 20;
-  if (requirements.rank == 0) return true;
-  return requirements.projected_tokens <
-         requirements.prefill_tokens +
-             requirements.prefill_tokens / kPromptPerShortOutput;
+  return projected_tokens <
+         prefill_tokens + prefill_tokens / kPromptPerShortOutput;
+}
+
+bool is_prioritized(const PlacementRequirements& requirements) {
+  return requirements.rank == 0 ||
+         has_short_output(requirements.projected_tokens,
+                          requirements.prefill_tokens);
 }
 
 std::uint64_t max_prefill_tokens(const RoutingState& state,
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -100,6 +100,11 @@
 const EngineSpec* find_engine_spec(const RoutingState& state,
                                    const std::string& service);
 
+// Returns whether a generation's output is short beside its prompt, so that it
+// holds memory only briefly.
+bool has_short_output(std::uint64_t projected_tokens,
+                      std::uint64_t prefill_tokens);
+
 // Returns whether capacity is reserved for a request: it has the most urgent
 // rank, or is so short that it holds memory only briefly.
 bool is_prioritized(const PlacementRequirements& requirements);
--- a/src/libperidotreach/routing/report_totals.cc
+++ b/src/libperidotreach/routing/report_totals.cc
@@ -25,6 +25,10 @@
   }
   for (const ObservedLimit& observed : report.limits)
     update_limit(totals.limits_by_endpoint[observed.endpoint], observed.limit);
+  for (const ObservedSpeed& observed : report.speeds) {
+    EndpointSpeed& known = totals.speeds_by_endpoint[observed.endpoint];
+    known = merge_speeds(known, observed.speed);
+  }
   for (const auto& [fingerprint, crashes] : report.suspects)
     totals.crashes[fingerprint] += crashes;
   totals.processes += report.processes;
@@ -48,6 +52,8 @@
     report.finished_outputs.push_back(output);
   for (const auto& [endpoint, limit] : totals.limits_by_endpoint)
     report.limits.push_back({endpoint, limit});
+  for (const auto& [endpoint, speed] : totals.speeds_by_endpoint)
+    report.speeds.push_back({endpoint, speed});
   for (const auto& [fingerprint, crashes] : totals.crashes) {
     if (crashes >= min_crashes)
       report.suspects.emplace_back(fingerprint, crashes);
--- a/src/libperidotreach/routing/report_totals.h
+++ b/src/libperidotreach/routing/report_totals.h
@@ -18,6 +18,8 @@
   std::map<std::string, FinishedOutput> outputs_by_route;
   // The newest observation of each endpoint's limit.
   std::map<std::string, EndpointLimit> limits_by_endpoint;
+  // What all reports together say of each endpoint's speed.
+  std::map<std::string, EndpointSpeed> speeds_by_endpoint;
   // Crashes by fingerprint of the request.
   std::map<std::uint64_t, std::uint32_t> crashes;
   std::uint32_t processes = 0;
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -131,6 +131,7 @@
   EndpointCriteria criteria;
   criteria.service = request.service;
   criteria.projected_tokens = request.projected_tokens;
+  criteria.prefill_tokens = request.caller_request.prompt_tokens;
   criteria.excluded_endpoints.insert(excluded);
   if (wait_for_placement(context, request_number, request)) return;
   const Millis now = context.state.now;
@@ -467,6 +468,12 @@
                    RequestState& request, const std::string& endpoint,
                    KvCacheSource source) {
   RoutingState& state = context.state;
+  const EndpointUsage& own_usage = state.endpoints.at(endpoint).own_usage;
+  const EndpointUsage& peer_usage = state.endpoints.at(endpoint).peer_usage;
+  request.is_prefilled_alone = own_usage.pending_prefill_tokens == 0 &&
+                               peer_usage.pending_prefill_tokens == 0;
+  request.attempt_started_at = state.now;
+  request.event_group_started_at = 0;
   assign_endpoint(context, request, endpoint);
   request.placement_deadline = 0;
   request.permit_deadline = 0;
@@ -498,7 +505,9 @@
                                           target.peer_usage.projected_tokens)},
        {"endpoint_running", std::to_string(target.own_usage.running_requests +
                                            target.peer_usage.running_requests)},
-       {"time_left_ms", std::to_string(attempt.time_left)}});
+       {"time_left_ms", std::to_string(attempt.time_left)},
+       {"event_group_ms", std::to_string(target.speed.event_group_ms)},
+       {"prefill_ms", std::to_string(target.speed.prefill_ms)}});
   context.effects.push_back(std::move(attempt));
 }
 
@@ -697,6 +706,7 @@
   RequestState* request = find_request(context, event.request);
   if (request == nullptr || event.attempt != request->attempt) return;
   record_prefill_finished(context, *request);
+  measure_event(context, *request);
   record_event_time(*request, context.state.now);
   request->event_count += 1;
   reserve_for_overrun(context, *request);
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -12,6 +12,7 @@
 
 #include "libperidotreach/routing/endpoint_entry.h"
 #include "libperidotreach/routing/endpoint_limit.h"
+#include "libperidotreach/routing/endpoint_speed.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/prompt_quarantine.h"
 #include "libperidotreach/routing/request_permits.h"
@@ -267,6 +268,14 @@
   bool operator==(const ObservedLimit&) const = default;
 };
 
+// The speed of an endpoint, as one process measured it.
+struct ObservedSpeed {
+  std::string endpoint;
+  EndpointSpeed speed;
+
+  bool operator==(const ObservedSpeed&) const = default;
+};
+
 // Recent requests and retries of one service, as counted by one process.
 struct ServiceRetryCounts {
   std::string service;
@@ -295,6 +304,8 @@
   // Fingerprints of requests in flight when an endpoint crashed, with counts.
   std::vector<std::pair<std::uint64_t, std::uint32_t>> suspects;
   std::vector<ObservedLimit> limits;
+  // Only while endpoints differ in speed.
+  std::vector<ObservedSpeed> speeds;
   // Processes that the report counts.
   std::uint32_t processes = 1;
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -285,6 +285,7 @@
     if (endpoint != nullptr)
       observe_limit(context, *endpoint, observed.limit, event.peer);
   }
+  update_reported_speeds(context, report, event.speeds);
   PeerRetryReport& retry_report = state.peer_retry_reports[event.peer];
   retry_report.received_at = state.now;
   retry_report.counts_by_service.clear();
--- a/src/libperidotreach/routing/routing_reducer.h
+++ b/src/libperidotreach/routing/routing_reducer.h
@@ -26,4 +26,8 @@
 // Returns the limits of endpoints to report to peers.
 std::vector<ObservedLimit> reported_limits(const RoutingState& state);
 
+// Returns the speeds of endpoints to report to peers: those that this process
+// measured itself, while endpoints differ.
+std::vector<ObservedSpeed> reported_speeds(const RoutingState& state);
+
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -20,6 +20,7 @@
 #include "libperidotreach/routing/routing_effect.h"
 #include "libperidotreach/routing/routing_event.h"
 #include "libperidotreach/routing/shared_retry_budget.h"
+#include "libperidotreach/routing/speed_samples.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -63,6 +64,11 @@
   EndpointLimit own_limit;
   Millis limit_ended_at = 0;
   EndpointPermits permits;
+  // What this process measured, and the speed that is known of the endpoint
+  // since its start.
+  SpeedSamples event_group_samples;
+  SpeedSamples prefill_samples;
+  EndpointSpeed speed;
   // Usage by this process and by all peers.
   EndpointUsage own_usage;
   EndpointUsage peer_usage;
@@ -156,6 +162,14 @@
   Millis first_event_at = 0;
   Millis last_event_at = 0;
   Millis longest_event_gap = 0;
+  // When the current attempt was started, and whether no other prompt was known
+  // to be in front of its own.
+  Millis attempt_started_at = 0;
+  bool is_prefilled_alone = false;
+  // The events that are measured for the speed of the endpoint: when the first
+  // one arrived, 0 if none did, and how many did since.
+  Millis event_group_started_at = 0;
+  std::uint32_t event_group_size = 0;
   // The generation ran on for long enough to show that its prompt is sound.
   bool is_prompt_sound = false;
   // Endpoints that continued the generation after the first one.
@@ -217,6 +231,7 @@
   std::map<std::uint64_t, std::uint32_t> suspects;
   // Finished generations by route.
   std::map<std::string, FinishedOutput> finished_outputs;
+  std::map<std::string, EndpointSpeed> speeds;
   // Processes that the report counts.
   std::uint32_t processes = 1;
 
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -10,6 +10,7 @@
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/routing_effect.h"
 #include "libperidotreach/routing/routing_state.h"
+#include "libperidotreach/routing/service_speeds.h"
 
 namespace peridotreach {
 
@@ -173,6 +174,16 @@
 // Gives up permit requests that are not answered and removes unused buckets.
 void expire_permits(const RoutingContext& context);
 
+// Speed of endpoints (measured_speeds.cc).
+// Returns how the endpoints of a service compare.
+ServiceSpeeds service_speeds(const RoutingState& state,
+                             const std::string& service);
+// Measures an event of a stream that has just arrived.
+void measure_event(const RoutingContext& context, RequestState& request);
+// Takes over what a peer, or a relay for several, says of endpoints' speeds.
+void update_reported_speeds(const RoutingContext& context, PeerReport& report,
+                            const std::vector<ObservedSpeed>& speeds);
+
 // Moves (generation_moves.cc).
 // Starts due moves, and continues moves whose coordinator does not answer.
 void plan_moves(const RoutingContext& context);
--- a/src/peridot-router/digest_codec.cc
+++ b/src/peridot-router/digest_codec.cc
@@ -4,6 +4,7 @@
 
 #include "fleet.pb.h"
 #include "peridot-router/endpoint_limit_cell.h"
+#include "peridot-router/endpoint_speed_cell.h"
 #include "peridot-router/prompt_crash_cell.h"
 
 namespace peridotreach {
@@ -71,6 +72,7 @@
   }
   for (const ObservedLimit& observed : report.limits)
     encode_limit(observed, now, *message.add_limits());
+  encode_speeds(report.speeds, message);
 }
 
 PeerReportReceived decode_report(const proto::RoutingDigest& message,
@@ -95,6 +97,7 @@
     report.suspects.emplace_back(cell.fingerprint(), cell.deaths());
   for (const proto::EndpointLimitCell& cell : message.limits())
     report.limits.push_back(decode_limit(cell, now));
+  report.speeds = decode_speeds(message);
   return report;
 }
 
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -255,6 +255,7 @@
     report.suspects.emplace_back(fingerprint, suspect.crashes);
   }
   report.limits = reported_limits(state_);
+  report.speeds = reported_speeds(state_);
   digest.prompts = make_report(state_.prompt_quarantine,
                                peers_.topology().is_relay, state_.now);
   return digest;
