--- a/src/libperidotreach/routing/measured_speeds.cc
+++ b/src/libperidotreach/routing/measured_speeds.cc
@@ -36,7 +36,9 @@
     if (found != report.speeds.end())
       speed = merge_speeds(speed, found->second);
   }
-  if (is_known(speed)) endpoint.speed = speed;
+  if (!is_known(speed)) return;
+  endpoint.speed = speed;
+  endpoint.speed_updated_at = state.now;
 }
 
 void measure_prefill(EndpointState& endpoint, const RequestState& request,
@@ -78,6 +80,33 @@
   return compare_speeds(speeds);
 }
 
+void append_speed_fields(const RoutingState& state,
+                         const EndpointState& endpoint,
+                         std::vector<DecisionField>& fields) {
+  const ServiceSpeeds speeds = service_speeds(state, endpoint.entry.service);
+  if (!speeds.differ) return;
+  const EndpointSpeed& speed = endpoint.speed;
+  fields.push_back({"slowness", std::to_string(slowness(speeds, speed))});
+  fields.push_back({"event_group_ms", std::to_string(speed.event_group_ms)});
+  fields.push_back({"prefill_ms", std::to_string(speed.prefill_ms)});
+  fields.push_back(
+      {"speed_age_ms", std::to_string(state.now - endpoint.speed_updated_at)});
+}
+
+std::size_t slow_endpoint_count(const RoutingState& state) {
+  std::size_t count = 0;
+  if (!state.manifest) return count;
+  for (const auto& [name, service] : state.manifest->services) {
+    if (!service.engine) continue;
+    const ServiceSpeeds speeds = service_speeds(state, name);
+    for (const auto& [id, endpoint] : state.endpoints) {
+      if (endpoint.entry.service != name || !endpoint.listed) continue;
+      if (slowness(speeds, endpoint.speed) > 1) count += 1;
+    }
+  }
+  return count;
+}
+
 void measure_event(const RoutingContext& context, RequestState& request) {
   EndpointState* endpoint = find_endpoint(context, request.endpoint);
   if (endpoint == nullptr) return;
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -492,22 +492,22 @@
   attempt.urgency = std::min(request.rank, kLowestUrgency);
   attempt.is_stream = request.route.kind == CallKind::kStream;
   attempt.source = std::move(source);
-  record_decision(
-      context, "placed", request_number,
-      {{"id", request.caller_request.id},
-       {"route", request.route.name},
-       {"endpoint", endpoint},
-       {"attempt", std::to_string(request.attempt)},
-       {"manifest", std::to_string(state.manifest->version)},
-       {"tokens", std::to_string(request.projected_tokens)},
-       {"prompt", std::to_string(request.caller_request.prompt_tokens)},
-       {"endpoint_tokens", std::to_string(target.own_usage.projected_tokens +
-                                          target.peer_usage.projected_tokens)},
-       {"endpoint_running", std::to_string(target.own_usage.running_requests +
-                                           target.peer_usage.running_requests)},
-       {"time_left_ms", std::to_string(attempt.time_left)},
-       {"event_group_ms", std::to_string(target.speed.event_group_ms)},
-       {"prefill_ms", std::to_string(target.speed.prefill_ms)}});
+  std::vector<DecisionField> fields = {
+      {"id", request.caller_request.id},
+      {"route", request.route.name},
+      {"account", request.account},
+      {"endpoint", endpoint},
+      {"attempt", std::to_string(request.attempt)},
+      {"manifest", std::to_string(state.manifest->version)},
+      {"tokens", std::to_string(request.projected_tokens)},
+      {"prompt", std::to_string(request.caller_request.prompt_tokens)},
+      {"endpoint_tokens", std::to_string(target.own_usage.projected_tokens +
+                                         target.peer_usage.projected_tokens)},
+      {"endpoint_running", std::to_string(target.own_usage.running_requests +
+                                          target.peer_usage.running_requests)},
+      {"time_left_ms", std::to_string(attempt.time_left)}};
+  if (attempt.is_stream) append_speed_fields(state, target, fields);
+  record_decision(context, "placed", request_number, std::move(fields));
   context.effects.push_back(std::move(attempt));
 }
 
--- a/src/libperidotreach/routing/routing_reducer.h
+++ b/src/libperidotreach/routing/routing_reducer.h
@@ -3,6 +3,7 @@
 // The routing reducer takes a caller's request through placement, retries and
 // moves to exactly one outcome.
 
+#include <cstddef>
 #include <vector>
 
 #include "libperidotreach/routing/routing_effect.h"
@@ -30,4 +31,9 @@
 // measured itself, while endpoints differ.
 std::vector<ObservedSpeed> reported_speeds(const RoutingState& state);
 
+// Returns how many listed engines are slower than the median of their service,
+// including those that have not shown their speed; 0 while engines hardly
+// differ.
+std::size_t slow_endpoint_count(const RoutingState& state);
+
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -69,6 +69,7 @@
   SpeedSamples event_group_samples;
   SpeedSamples prefill_samples;
   EndpointSpeed speed;
+  Millis speed_updated_at = 0;
   // Usage by this process and by all peers.
   EndpointUsage own_usage;
   EndpointUsage peer_usage;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -178,6 +178,11 @@
 // Returns how the endpoints of a service compare.
 ServiceSpeeds service_speeds(const RoutingState& state,
                              const std::string& service);
+// Adds what was known of the endpoint's speed when it was chosen, and its age,
+// while the endpoints of its service differ.
+void append_speed_fields(const RoutingState& state,
+                         const EndpointState& endpoint,
+                         std::vector<DecisionField>& fields);
 // Measures an event of a stream that has just arrived.
 void measure_event(const RoutingContext& context, RequestState& request);
 // Takes over what a peer, or a relay for several, says of endpoints' speeds.
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -324,6 +324,8 @@
                        static_cast<double>(exchanges_.size()));
     metrics_.set_gauge("endpoints",
                        static_cast<double>(state_.endpoints.size()));
+    metrics_.set_gauge("slow_endpoints",
+                       static_cast<double>(slow_endpoint_count(state_)));
     metrics_.set_gauge("peers",
                        static_cast<double>(peers_.view().peers.size()));
     metrics_.set_gauge(
