--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -131,6 +131,7 @@
   EndpointCriteria criteria;
   criteria.service = request.service;
   criteria.projected_tokens = request.projected_tokens;
+  criteria.prefill_tokens = request.caller_request.prompt_tokens;
   criteria.excluded_endpoints.insert(excluded);
   if (wait_for_placement(context, request_number, request)) return;
   const Millis now = context.state.now;
@@ -467,6 +468,12 @@
                    RequestState& request, const std::string& endpoint,
                    KvCacheSource source) {
   RoutingState& state = context.state;
+  const EndpointUsage& own_usage = state.endpoints.at(endpoint).own_usage;
+  const EndpointUsage& peer_usage = state.endpoints.at(endpoint).peer_usage;
+  request.is_prefilled_alone = own_usage.pending_prefill_tokens == 0 &&
+                               peer_usage.pending_prefill_tokens == 0;
+  request.attempt_started_at = state.now;
+  request.event_group_started_at = 0;
   assign_endpoint(context, request, endpoint);
   request.placement_deadline = 0;
   request.permit_deadline = 0;
@@ -485,20 +492,22 @@
   attempt.urgency = std::min(request.rank, kLowestUrgency);
   attempt.is_stream = request.route.kind == CallKind::kStream;
   attempt.source = std::move(source);
-  record_decision(
-      context, "placed", request_number,
-      {{"id", request.caller_request.id},
-       {"route", request.route.name},
-       {"endpoint", endpoint},
-       {"attempt", std::to_string(request.attempt)},
-       {"manifest", std::to_string(state.manifest->version)},
-       {"tokens", std::to_string(request.projected_tokens)},
-       {"prompt", std::to_string(request.caller_request.prompt_tokens)},
-       {"endpoint_tokens", std::to_string(target.own_usage.projected_tokens +
-                                          target.peer_usage.projected_tokens)},
-       {"endpoint_running", std::to_string(target.own_usage.running_requests +
-                                           target.peer_usage.running_requests)},
-       {"time_left_ms", std::to_string(attempt.time_left)}});
+  std::vector<DecisionField> fields = {
+      {"id", request.caller_request.id},
+      {"route", request.route.name},
+      {"account", request.account},
+      {"endpoint", endpoint},
+      {"attempt", std::to_string(request.attempt)},
+      {"manifest", std::to_string(state.manifest->version)},
+      {"tokens", std::to_string(request.projected_tokens)},
+      {"prompt", std::to_string(request.caller_request.prompt_tokens)},
+      {"endpoint_tokens", std::to_string(target.own_usage.projected_tokens +
+                                         target.peer_usage.projected_tokens)},
+      {"endpoint_running", std::to_string(target.own_usage.running_requests +
+                                          target.peer_usage.running_requests)},
+      {"time_left_ms", std::to_string(attempt.time_left)}};
+  if (attempt.is_stream) append_speed_fields(state, target, fields);
+  record_decision(context, "placed", request_number, std::move(fields));
   context.effects.push_back(std::move(attempt));
 }
 
@@ -697,6 +706,7 @@
   RequestState* request = find_request(context, event.request);
   if (request == nullptr || event.attempt != request->attempt) return;
   record_prefill_finished(context, *request);
+  measure_event(context, *request);
   record_event_time(*request, context.state.now);
   request->event_count += 1;
   reserve_for_overrun(context, *request);
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -255,6 +255,7 @@
     report.suspects.emplace_back(fingerprint, suspect.crashes);
   }
   report.limits = reported_limits(state_);
+  report.speeds = reported_speeds(state_);
   digest.prompts = make_report(state_.prompt_quarantine,
                                peers_.topology().is_relay, state_.now);
   return digest;
@@ -325,6 +326,8 @@
                        static_cast<double>(state_.endpoints.size()));
     metrics_.set_gauge("closed_zones",
                        static_cast<double>(state_.closed_zones.size()));
+    metrics_.set_gauge("slow_endpoints",
+                       static_cast<double>(slow_endpoint_count(state_)));
     metrics_.set_gauge("peers",
                        static_cast<double>(peers_.view().peers.size()));
     metrics_.set_gauge(
