Moves are spread over targets by one coordinator a zone

The placement coordinator did not count the copies that it had just granted, and the coordinator of the router's zone chose, so up to four chose alike.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -61,6 +61,7 @@
     sum.running_requests += 1;
     sum.projected_tokens += reservation.projected_tokens;
     sum.pending_prefill_tokens += reservation.prefill_tokens;
+    if (reservation.is_move) sum.incoming_copies += 1;
   }
   return sum;
 }
@@ -106,7 +107,8 @@
   }
   sum += criteria.copy_cost *
          static_cast<double>(endpoint.own_usage.incoming_copies +
-                             endpoint.peer_usage.incoming_copies);
+                             endpoint.peer_usage.incoming_copies +
+                             reserved.incoming_copies);
   sum += kTransportFailureCost *
          std::min(kMaxTransportFailures,
                   transport_failures_at(endpoint, state.now) +
--- a/src/libperidotreach/routing/placement_coordinator.cc
+++ b/src/libperidotreach/routing/placement_coordinator.cc
@@ -108,7 +108,8 @@
   const Millis expires_at =
       peer == state.config.vm ? state.now : state.now + kReservationLifetime;
   state.reservations.push_back({endpoint, requirements.projected_tokens,
-                                requirements.prefill_tokens, expires_at});
+                                requirements.prefill_tokens, expires_at,
+                                requirements.is_move});
 }
 
 void expire_reservations(RoutingState& state) {
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -177,6 +177,8 @@
   std::uint64_t projected_tokens = 0;
   std::uint64_t prefill_tokens = 0;
   Millis expires_at = 0;
+  // It is for a generation that is copied to the endpoint.
+  bool is_move = false;
 
   bool operator==(const PlacementReservation&) const = default;
 };
--- a/src/peridot-router/coordination.cc
+++ b/src/peridot-router/coordination.cc
@@ -162,8 +162,14 @@
 
 void Coordination::request_placement(const RequestPlacement& effect,
                                      Millis now) {
-  const std::string coordinator =
-      placement_coordinator_of(effect.requirements.service, now);
+  const PlacementRequirements& requirements = effect.requirements;
+  std::string coordinator = placement_coordinator_of(requirements.service, now);
+  // The engines that generations leave share the links of the targets in their
+  // zone, so one process chooses all targets there.
+  const std::vector<std::string> relays =
+      requirements.is_move ? relays_of(link_.topology(), requirements.zone)
+                           : std::vector<std::string>();
+  if (!relays.empty()) coordinator = relays.front();
   if (coordinator == link_.self().vm) {
     handlers_.on_placement_requested(PlacementRequested{
         link_.self().vm, effect.request, effect.requirements, ""});
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -1,6 +1,7 @@
 // Tests of moving running generations to another endpoint.
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "libperidotreach/routing/copy_leases.h"
 #include "tests/routing/router_harness.h"
@@ -307,6 +308,29 @@
   CHECK(router.state.retry_budgets["engines"].retries.size() == 1);
 }
 
+// The copies would share the target's link, so both would take twice as long.
+TEST_CASE("moves at the same moment get different targets", "[moves]") {
+  RouterHarness router;
+  PeerReportReceived peer;
+  peer.peer = "vm-3";
+  peer.endpoint_usage = {EndpointUsage{"e3"}};
+  peer.endpoint_usage[0].projected_tokens = 6800;
+  router.apply(peer);
+  PlacementRequirements move;
+  move.service = "engines";
+  move.projected_tokens = 3000;
+  move.is_move = true;
+  move.excluded_endpoints = {"e1"};
+  std::set<std::string> targets;
+  for (const std::uint64_t request : {1, 2}) {
+    const auto answers = effects_of<AnswerPlacement>(
+        router.apply(PlacementRequested{"vm-2", request, move}));
+    REQUIRE(answers.size() == 1);
+    targets.insert(answers[0].endpoint);
+  }
+  CHECK(targets == std::set<std::string>{"e2", "e3"});
+}
+
 TEST_CASE("copy leases are granted in order and expire", "[moves]") {
   CopyLeaseTable leases;
   const CopyRequester first_requester{"vm-1", 1};
