Engines are asked for notices as soon as the store may not bring them

Engines were asked only while no live router claimed to reach the store; routers that had just been started claim so until their first call fails. Log lines notice_polls_started and notice_polls_ended.

--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -38,6 +38,7 @@
                   const char* cause) {
   if (endpoint.leaving_since != 0) return;
   endpoint.leaving_since = context.state.now;
+  context.state.last_leaving_at[endpoint.entry.service] = context.state.now;
   record_decision(context, "endpoint_leaving", 0,
                   {{"endpoint", endpoint.entry.id}, {"cause", cause}});
 }
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -242,6 +242,8 @@
   // has none.
   Millis shortest_stream_slo = 0;
   std::map<std::string, EndpointState> endpoints;
+  // When an endpoint of a service was last seen to leave.
+  std::map<std::string, Millis> last_leaving_at;
   std::map<std::uint64_t, RequestState> requests;
   std::vector<PlacementReservation> reservations;
   // Requests that wait for this process, as the placement coordinator.
--- a/src/libperidotreach/routing/table_freshness.cc
+++ b/src/libperidotreach/routing/table_freshness.cc
@@ -46,6 +46,10 @@
   return freshness.by_peers.empty() ? 0 : freshness.by_peers.front().at;
 }
 
+Millis confirmed_at(const TableFreshness& freshness) {
+  return std::max(freshness.own_at, confirmed_by_peers_at(freshness));
+}
+
 bool is_confirmed_by_peers(const TableFreshness& freshness, Millis max_age,
                            Millis now) {
   const Millis confirmed_at = confirmed_by_peers_at(freshness);
--- a/src/libperidotreach/routing/table_freshness.h
+++ b/src/libperidotreach/routing/table_freshness.h
@@ -56,6 +56,9 @@
 // Returns when a peer last confirmed the tables; 0 if none did.
 Millis confirmed_by_peers_at(const TableFreshness& freshness);
 
+// Returns when this process or a peer last confirmed the tables; 0 if none did.
+Millis confirmed_at(const TableFreshness& freshness);
+
 // Returns whether a peer has confirmed the tables within `max_age`.
 bool is_confirmed_by_peers(const TableFreshness& freshness, Millis max_age,
                            Millis now);
--- a/src/peridot-router/peer_exchange.cc
+++ b/src/peridot-router/peer_exchange.cc
@@ -84,6 +84,12 @@
   return coordination_.lease_coordinator(endpoint, now) == self().vm;
 }
 
+std::optional<Millis> PeerExchange::confirmation_age(Millis now) const {
+  const Millis at = confirmed_at(freshness_);
+  if (at == 0) return std::nullopt;
+  return now - at;
+}
+
 // Confirmations reach a process that relays serve with their heartbeats.
 Millis PeerExchange::max_confirmation_age() const {
   const bool is_served = topology().uses_relays && !topology().is_relay;
--- a/src/peridot-router/peer_exchange.h
+++ b/src/peridot-router/peer_exchange.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,9 +69,13 @@
   void announce_endpoint_leaving(const std::string& endpoint, Millis now);
 
   // Returns whether this process polls the state of `endpoint` while the store
-  // is unreachable.
+  // may not bring its notice.
   bool polls_endpoint(const std::string& endpoint, Millis now) const;
 
+  // Returns the age of the newest confirmation of the tables, by this process
+  // or a peer; none if there was none.
+  std::optional<Millis> confirmation_age(Millis now) const;
+
   // Returns whether this process watches the frequently changing tables of the
   // store and forwards their changes to others.
   bool watches_tables(bool store_reachable, Millis now) const;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -6,6 +6,7 @@
 
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/item_order.h"
+#include "libperidotreach/routing/notice_polls.h"
 #include "peridot-router/caller_session.h"
 #include "peridot-router/quarantine_codec.h"
 #include "runtime/clock.h"
@@ -28,8 +29,8 @@
 // report.
 constexpr std::size_t kMaxControlBytes = 256U << 10U;
 
-// Interval at which engines are polled for their state while the store is
-// unreachable: a sixth of the shortest notice that they give before leaving.
+// Interval at which engines are polled for their state while the store may not
+// bring their notices: a sixth of the shortest notice that they give.
 constexpr Millis kReportPollInterval = 300;
 
 // Time for an engine to answer such a poll.
@@ -188,24 +189,35 @@
   }
 }
 
-// While no process reaches the store, none learns from it which engines are
-// leaving. The engines in use are then polled, each by one process.
+// Each engine is asked by one process.
 void RouterNode::poll_endpoints(Millis now) {
-  if (!is_store_unreachable(peers_.view(), state_.store_reachable, now)) return;
   if (now - endpoints_polled_at_ < kReportPollInterval) return;
+  const NoticeDelivery delivery{
+      is_store_unreachable(peers_.view(), state_.store_reachable, now),
+      peers_.confirmation_age(now)};
+  const std::vector<std::string> engines = engines_to_ask(state_, delivery);
+  log_polling(!engines.empty(), delivery);
+  if (engines.empty()) return;
   endpoints_polled_at_ = now;
-  for (const auto& [id, endpoint] : state_.endpoints) {
-    const bool is_used = endpoint.own_usage.running_requests +
-                             endpoint.peer_usage.running_requests >
-                         0;
-    if (!is_used || endpoint.leaving_since != 0) continue;
-    if (find_engine_spec(state_, endpoint.entry.service) == nullptr) continue;
+  for (const std::string& id : engines) {
     if (!peers_.polls_endpoint(id, now)) continue;
-    const HttpTarget target{endpoint.entry.address, endpoint.entry.port};
+    const EndpointEntry& entry = state_.endpoints.at(id).entry;
+    const HttpTarget target{entry.address, entry.port};
     co_spawn(io_, poll_endpoint(id, target), asio::detached);
   }
 }
 
+void RouterNode::log_polling(bool is_polling, const NoticeDelivery& delivery) {
+  if (is_polling == is_polling_) return;
+  is_polling_ = is_polling;
+  log(LogLevel::kInfo,
+      is_polling ? "notice_polls_started" : "notice_polls_ended",
+      {{"store_unreachable", delivery.store_unreachable ? "true" : "false"},
+       {"confirmation_age_ms", delivery.confirmation_age
+                                   ? std::to_string(*delivery.confirmation_age)
+                                   : "none"}});
+}
+
 awaitable<void> RouterNode::poll_endpoint(std::string id, HttpTarget target) {
   ClientRequest request = wire_format_.report_request();
   const ClientResponse answer = co_await fetch_response(
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "libperidotreach/routing/notice_polls.h"
 #include "libperidotreach/routing/response_memory.h"
 #include "libperidotreach/routing/routing_reducer.h"
 #include "peridot-router/endpoint_attempt.h"
@@ -174,6 +175,7 @@
   bool has_open_requests() const;
   void advance_shutdown(Millis now);
   void poll_endpoints(Millis now);
+  void log_polling(bool is_polling, const NoticeDelivery& delivery);
   awaitable<void> poll_endpoint(std::string id, HttpTarget target);
 
   // Request number and attempt number.
@@ -200,6 +202,7 @@
   std::uint64_t next_request_ = 1;
   CallerLimits default_limits_;
   Millis endpoints_polled_at_ = 0;
+  bool is_polling_ = false;
   std::function<void()> on_stopped_;
 };
 
