--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -44,6 +44,8 @@
 void request_copy(const RoutingContext& context, std::uint64_t request_number,
                   RequestState& request, bool stop_source) {
   if (stop_source) request.stop_ordered = true;
+  (stop_source ? request.move.stop_ordered_at : request.move.copy_started_at) =
+      context.state.now;
   const EndpointEntry& source =
       context.state.endpoints.at(request.endpoint).entry;
   const EndpointEntry& target =
@@ -192,16 +194,20 @@
   if (!move.source_ended) {
     context.effects.push_back(CancelAttempt{request_number, request.attempt});
   }
-  record_decision(context, "move_resumed", request_number,
-                  {{"from", request.endpoint},
-                   {"to", move.target},
-                   {"last_event", std::to_string(request.last_event_id)},
-                   {"events_made", std::to_string(move.events_made)}});
+  record_decision(
+      context, "move_resumed", request_number,
+      {{"from", request.endpoint},
+       {"to", move.target},
+       {"last_event", std::to_string(request.last_event_id)},
+       {"events_made", std::to_string(move.events_made)},
+       {"copy_ms", std::to_string(move.stop_ordered_at - move.copy_started_at)},
+       {"stop_ms", std::to_string(context.state.now - move.stop_ordered_at)}});
   clear_move(context, request_number, request);
   request.move.attempts = 0;
   request.previous_endpoint = request.endpoint;
   request.previous_kv_cache = kv_cache;
   request.move_count += 1;
+  request.resumed_at = context.state.now;
   start_attempt(context, request_number, request, move.target,
                 std::move(kv_cache));
 }
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -697,6 +697,15 @@
   RequestState* request = find_request(context, event.request);
   if (request == nullptr || event.attempt != request->attempt) return;
   record_prefill_finished(context, *request);
+  if (request->resumed_at != 0) {
+    record_decision(
+        context, "move_continued", event.request,
+        {{"endpoint", request->endpoint},
+         {"resume_ms", std::to_string(context.state.now - request->resumed_at)},
+         {"pause_ms",
+          std::to_string(context.state.now - request->last_event_at)}});
+    request->resumed_at = 0;
+  }
   record_event_time(*request, context.state.now);
   request->event_count += 1;
   reserve_for_overrun(context, *request);
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -18,6 +18,10 @@
 // recovery is noticed.
 constexpr Millis kEntryReturnTimeout = 1800;
 
+// Shortest time without the store in which entries may expire. They do so after
+// three intervals of silence, of about a second each.
+constexpr Millis kMinOutageForExpiry = kSecond;
+
 void apply(const RoutingContext& context, const ManifestReceived& event) {
   RoutingState& state = context.state;
   std::vector<DecisionField> fields = {
@@ -159,9 +163,13 @@
 void apply(const RoutingContext& context,
            const StoreReachabilityChanged& event) {
   RoutingState& state = context.state;
-  if (event.is_reachable == state.store_reachable) return;
+  const bool is_back = event.is_reachable && !state.store_reachable;
   state.store_reachable = event.is_reachable;
-  if (event.is_reachable) state.store_regained_at = state.now;
+  if (!event.is_reachable) return;
+  const Millis answered_at = std::exchange(state.store_answered_at, state.now);
+  // One call that was cut off makes no entry expire.
+  if (is_back && state.now - answered_at >= kMinOutageForExpiry)
+    state.store_regained_at = state.now;
 }
 
 // The entries that a restored store lost are registered again, as after an
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -109,6 +109,9 @@
   Millis last_lease_reply_at = 0;
   bool has_lease = false;
   Millis target_requested_at = 0;
+  // When the first copy began, and when the source was ordered to stop.
+  Millis copy_started_at = 0;
+  Millis stop_ordered_at = 0;
 
   bool operator==(const GenerationMove&) const = default;
 };
@@ -160,6 +163,9 @@
   bool is_prompt_sound = false;
   // Endpoints that continued the generation after the first one.
   std::uint32_t move_count = 0;
+  // When it was resumed at the endpoint of which no event has come yet; 0
+  // otherwise.
+  Millis resumed_at = 0;
   // The endpoint that last stopped the generation and keeps its KV cache for a
   // while, and the location of that cache. The endpoint is empty once the
   // generation has returned to it.
@@ -230,8 +236,10 @@
   RoutingConfig config;
   Millis now = 0;
   std::uint64_t random = 1;
-  // Whether calls to the store succeed, and since when they succeed again.
+  // Whether calls to the store succeed, when one last did, and since when they
+  // succeed again after an outage in which entries may have expired.
   bool store_reachable = true;
+  Millis store_answered_at = 0;
   Millis store_regained_at = 0;
   // The newest era of the store that is known.
   std::uint64_t store_era = 0;
--- a/tests/routing/store_recovery_test.cc
+++ b/tests/routing/store_recovery_test.cc
@@ -33,6 +33,19 @@
   CHECK(is_available(router, "e1"));
 }
 
+// Some endpoints leave without a notice, so that the removal of their entry is
+// all that tells of it.
+TEST_CASE("a removal after a single failed call is a notice", "[routing]") {
+  RouterHarness router;
+  router.apply(StoreReachabilityChanged{true});
+  router.advance(500);
+  router.apply(StoreReachabilityChanged{false});
+  router.advance(80);
+  router.apply(StoreReachabilityChanged{true});
+  router.apply(EndpointUnlisted{"e1"});
+  CHECK_FALSE(is_available(router, "e1"));
+}
+
 TEST_CASE("an entry that is not registered again is dropped", "[routing]") {
   RouterHarness router;
   simulate_store_outage(router);
