Closed connections tell of a notice before the engine's report does

Cause: while the store was silent, notices were known 0.6 to 0.9 s after they were given, of 1.7 to 2.1 s: the state in an engine's report is up to 0.5 s old. Engines are asked from 700 ms without a confirmation instead of 900 ms.

--- a/src/libperidotreach/routing/notice_polls.h
+++ b/src/libperidotreach/routing/notice_polls.h
@@ -15,9 +15,9 @@
 struct RoutingState;
 
 // Age of the newest confirmation of the tables from which notices may be
-// missing. Watchers confirm them every 500 ms and relays pass that on within
-// 250 ms; the shortest notices are 1.4 s.
-inline constexpr Millis kMaxConfirmationAgeForNotices = 900;
+// missing. Two watchers confirm them every 500 ms each and relays pass that on
+// within 250 ms; the shortest notices are 1.4 s.
+inline constexpr Millis kMaxConfirmationAgeForNotices = 700;
 
 // How long after an endpoint of a service has left others of it are expected to
 // leave.
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -34,11 +34,11 @@
 constexpr Millis kReportPollInterval = 300;
 
 // Answers in a row that close the connection from which an engine counts as
-// leaving. About one in a hundred does so otherwise.
+// leaving. Single answers of others do so now and then.
 constexpr int kClosedAnswersOfLeaving = 3;
 
 // Delay before an engine that closed the connection is polled again.
-constexpr Millis kRepeatedPollDelay = 50;
+constexpr Millis kRepeatedPollDelay = 20;
 
 // Time for an engine to answer such a poll.
 constexpr Millis kReportTimeout = 500;
