--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -361,6 +361,7 @@
                        static_cast<double>(state_.endpoints.size()));
     metrics_.set_gauge("peers",
                        static_cast<double>(peers_.view().peers.size()));
+    metrics_.set_gauge("notice_polls", is_polling_ ? 1 : 0);
     metrics_.set_gauge(
         "manifest_version",
         state_.manifest ? static_cast<double>(state_.manifest->version) : 0);
