--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -30,8 +30,8 @@
 
 // Cost of a move to another zone, where a copy takes twice as long, and of a
 // target whose link is used by another copy.
-constexpr double kCrossZoneCopyCost = 0.6;
-constexpr double kConcurrentCopyCost = 1.0;
+constexpr double kCrossZoneCopyCost = 1.2;
+constexpr double kConcurrentCopyCost = 2.0;
 
 // Bounds of the time after which a caller comes back when the engines are full.
 // Callers honour up to a third of the time that they have left.
