--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -49,6 +49,8 @@
 void request_copy(const RoutingContext& context, std::uint64_t request_number,
                   RequestState& request, bool stop_source) {
   if (stop_source) request.stop_ordered = true;
+  (stop_source ? request.move.stop_ordered_at : request.move.copy_started_at) =
+      context.state.now;
   const EndpointEntry& source =
       context.state.endpoints.at(request.endpoint).entry;
   const EndpointEntry& target =
@@ -87,14 +89,15 @@
          !ends_in_time(state, request);
 }
 
-void request_lease(const RoutingContext& context, std::uint64_t request_number,
-                   RequestState& request) {
-  GenerationMove& move = request.move;
-  if (move.phase == MovePhase::kNone)
-    move.last_lease_reply_at = context.state.now;
-  move.phase = MovePhase::kAwaitingLease;
-  move.lease_requested_at = context.state.now;
-  context.effects.push_back(RequestCopyLease{request_number, request.endpoint});
+// Returns whether a generation has missed an objective, so that its caller
+// values it less.
+bool has_missed_objective(const RequestState& request) {
+  const Route& route = request.route;
+  const bool started_late =
+      route.first_byte_slo > 0 &&
+      request.first_event_at - request.arrived_at > route.first_byte_slo;
+  return started_late || (route.event_gap_slo > 0 &&
+                          request.longest_event_gap > route.event_gap_slo);
 }
 
 // Lets another generation copy first and retries after a delay.
@@ -121,6 +124,22 @@
   return requirements;
 }
 
+void request_lease(const RoutingContext& context, std::uint64_t request_number,
+                   RequestState& request) {
+  GenerationMove& move = request.move;
+  if (move.phase == MovePhase::kNone)
+    move.last_lease_reply_at = context.state.now;
+  move.phase = MovePhase::kAwaitingLease;
+  move.lease_requested_at = context.state.now;
+  PlacementRequirements requirements =
+      move_requirements(context.state, request);
+  requirements.prefill_tokens = request.caller_request.prompt_tokens;
+  requirements.is_late = has_missed_objective(request);
+  requirements.excluded_endpoints.clear();
+  context.effects.push_back(RequestCopyLease{request_number, request.endpoint,
+                                             std::move(requirements)});
+}
+
 // Requests a target among the endpoints that have not reported a lack of
 // capacity.
 void request_target(const RoutingContext& context, std::uint64_t request_number,
@@ -201,16 +220,20 @@
   if (!move.source_ended) {
     context.effects.push_back(CancelAttempt{request_number, request.attempt});
   }
-  record_decision(context, "move_resumed", request_number,
-                  {{"from", request.endpoint},
-                   {"to", resumed_at},
-                   {"last_event", std::to_string(request.last_event_id)},
-                   {"events_made", std::to_string(move.events_made)}});
+  record_decision(
+      context, "move_resumed", request_number,
+      {{"from", request.endpoint},
+       {"to", resumed_at},
+       {"last_event", std::to_string(request.last_event_id)},
+       {"events_made", std::to_string(move.events_made)},
+       {"copy_ms", std::to_string(move.stop_ordered_at - move.copy_started_at)},
+       {"stop_ms", std::to_string(context.state.now - move.stop_ordered_at)}});
   clear_move(context, request_number, request);
   request.move.attempts = 0;
   request.previous_endpoint = request.endpoint;
   request.previous_kv_cache = kv_cache;
   request.move_count += 1;
+  request.resumed_at = context.state.now;
   start_attempt(context, request_number, request, resumed_at,
                 std::move(kv_cache));
 }
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -119,6 +119,9 @@
   Millis last_lease_reply_at = 0;
   bool has_lease = false;
   Millis target_requested_at = 0;
+  // When the first copy began, and when the source was ordered to stop.
+  Millis copy_started_at = 0;
+  Millis stop_ordered_at = 0;
 
   bool operator==(const GenerationMove&) const = default;
 };
@@ -178,6 +181,9 @@
   bool is_prompt_sound = false;
   // Endpoints that continued the generation after the first one.
   std::uint32_t move_count = 0;
+  // When it was resumed at the endpoint of which no event has come yet; 0
+  // otherwise.
+  Millis resumed_at = 0;
   // The endpoint that last stopped the generation and keeps its KV cache for a
   // while, and the location of that cache. The endpoint is empty once the
   // generation has returned to it.
@@ -195,6 +201,8 @@
   std::uint64_t projected_tokens = 0;
   std::uint64_t prefill_tokens = 0;
   Millis expires_at = 0;
+  // It is for a generation that is copied to the endpoint.
+  bool is_move = false;
 
   bool operator==(const PlacementReservation&) const = default;
 };
@@ -247,8 +255,10 @@
   RoutingConfig config;
   Millis now = 0;
   std::uint64_t random = 1;
-  // Whether calls to the store succeed, and since when they succeed again.
+  // Whether calls to the store succeed, when one last did, and since when they
+  // succeed again after an outage in which entries may have expired.
   bool store_reachable = true;
+  Millis store_answered_at = 0;
   Millis store_regained_at = 0;
   // The newest era of the store that is known.
   std::uint64_t store_era = 0;
@@ -260,6 +270,8 @@
   Millis shortest_stream_slo = 0;
   ClosedZones closed_zones;
   std::map<std::string, EndpointState> endpoints;
+  // When an endpoint of a service was last seen to leave.
+  std::map<std::string, Millis> last_leaving_at;
   std::map<std::uint64_t, RequestState> requests;
   std::vector<PlacementReservation> reservations;
   // Requests that wait for this process, as the placement coordinator.
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -6,6 +6,7 @@
 
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/item_order.h"
+#include "libperidotreach/routing/notice_polls.h"
 #include "peridot-router/caller_session.h"
 #include "peridot-router/quarantine_codec.h"
 #include "runtime/clock.h"
@@ -28,10 +29,17 @@
 // report.
 constexpr std::size_t kMaxControlBytes = 256U << 10U;
 
-// Interval at which engines are polled for their state while the store is
-// unreachable: a sixth of the shortest notice that they give before leaving.
+// Interval at which engines are polled for their state while the store may not
+// bring their notices: a sixth of the shortest notice that they give.
 constexpr Millis kReportPollInterval = 300;
 
+// Answers in a row that close the connection from which an engine counts as
+// leaving. Single answers of others do so now and then.
+constexpr int kClosedAnswersOfLeaving = 3;
+
+// Delay before an engine that closed the connection is polled again.
+constexpr Millis kRepeatedPollDelay = 20;
+
 // Time for an engine to answer such a poll.
 constexpr Millis kReportTimeout = 500;
 
@@ -188,30 +196,58 @@
   }
 }
 
-// While no process reaches the store, none learns from it which engines are
-// leaving. The engines in use are then polled, each by one process.
+// Each engine is asked by one process.
 void RouterNode::poll_endpoints(Millis now) {
-  if (!is_store_unreachable(peers_.view(), state_.store_reachable, now)) return;
   if (now - endpoints_polled_at_ < kReportPollInterval) return;
+  const NoticeDelivery delivery{
+      is_store_unreachable(peers_.view(), state_.store_reachable, now),
+      peers_.confirmation_age(now)};
+  std::vector<std::string> engines = engines_to_ask(state_, delivery);
+  std::erase_if(engines, [&](const std::string& id) {
+    return !peers_.polls_endpoint(id, now);
+  });
+  log_polling(!engines.empty(), delivery);
+  if (engines.empty()) return;
   endpoints_polled_at_ = now;
-  for (const auto& [id, endpoint] : state_.endpoints) {
-    const bool is_used = endpoint.own_usage.running_requests +
-                             endpoint.peer_usage.running_requests >
-                         0;
-    if (!is_used || endpoint.leaving_since != 0) continue;
-    if (find_engine_spec(state_, endpoint.entry.service) == nullptr) continue;
-    if (!peers_.polls_endpoint(id, now)) continue;
-    const HttpTarget target{endpoint.entry.address, endpoint.entry.port};
+  for (const std::string& id : engines) {
+    const EndpointEntry& entry = state_.endpoints.at(id).entry;
+    const HttpTarget target{entry.address, entry.port};
     co_spawn(io_, poll_endpoint(id, target), asio::detached);
   }
 }
 
+void RouterNode::log_polling(bool is_polling, const NoticeDelivery& delivery) {
+  if (is_polling == is_polling_) return;
+  is_polling_ = is_polling;
+  log(LogLevel::kInfo,
+      is_polling ? "notice_polls_started" : "notice_polls_ended",
+      {{"store_unreachable", delivery.store_unreachable ? "true" : "false"},
+       {"confirmation_age_ms", delivery.confirmation_age
+                                   ? std::to_string(*delivery.confirmation_age)
+                                   : "none"}});
+}
+
+// The state in a report is some hundred milliseconds old. The head of the
+// answer is not: an engine that leaves closes its connections. Others do so now
+// and then, so several answers in a row count.
 awaitable<void> RouterNode::poll_endpoint(std::string id, HttpTarget target) {
-  ClientRequest request = wire_format_.report_request();
-  const ClientResponse answer = co_await fetch_response(
-      io_, target, std::move(request), kReportTimeout, kMaxControlBytes);
-  if (!answer.complete || !wire_format_.decode_report(answer.body).leaving)
-    co_return;
+  for (int closed = 1;; ++closed) {
+    ClientRequest request = wire_format_.report_request();
+    const ClientResponse answer = co_await fetch_response(
+        io_, target, std::move(request), kReportTimeout, kMaxControlBytes);
+    if (!answer.complete) co_return;
+    const bool is_leaving = wire_format_.decode_report(answer.body).leaving;
+    if (answer.closes_connection) {
+      log(LogLevel::kInfo, "engine_closes",
+          {{"endpoint", id},
+           {"answers", std::to_string(closed)},
+           {"state_says_leaving", is_leaving ? "true" : "false"}});
+    }
+    if (is_leaving) break;
+    if (!answer.closes_connection) co_return;
+    if (closed == kClosedAnswersOfLeaving) break;
+    co_await sleep_for(kRepeatedPollDelay);
+  }
   peers_.announce_endpoint_leaving(id, monotonic_now());
   post(EndpointLeaving{id});
 }
@@ -330,6 +366,7 @@
                        static_cast<double>(slow_endpoint_count(state_)));
     metrics_.set_gauge("peers",
                        static_cast<double>(peers_.view().peers.size()));
+    metrics_.set_gauge("notice_polls", is_polling_ ? 1 : 0);
     metrics_.set_gauge(
         "manifest_version",
         state_.manifest ? static_cast<double>(state_.manifest->version) : 0);
