Requests of a closed zone choose an open cell one by one

Cause: each process of a closed zone asked one open cell for all its requests. Change: the open cell is chosen by a hash of VM and request.

--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -118,17 +118,22 @@
   return requirements;
 }
 
-std::string cell_zone(const RoutingState& state) {
-  const bool is_own_cell = state.closed_zones.empty() ||
-                           !state.closed_zones.contains(state.config.zone) ||
-                           process_count(state) <= kMaxSingleCellPeers + 1;
-  if (is_own_cell) return "";
+bool is_own_cell_closed(const RoutingState& state) {
+  return state.closed_zones.contains(state.config.zone) &&
+         process_count(state) > kMaxSingleCellPeers + 1;
+}
+
+std::string cell_zone(const RoutingState& state, std::uint64_t request_number) {
+  if (!is_own_cell_closed(state)) return "";
+  // Processes spread their requests one by one: what a process gets is uneven.
+  const std::string subject =
+      state.config.vm + "/" + std::to_string(request_number);
   std::string chosen;
   std::uint64_t highest = 0;
   for (const auto& [id, endpoint] : state.endpoints) {
     const std::string& zone = endpoint.entry.zone;
     if (zone == chosen || endpoint.zone_closed_since != 0) continue;
-    const std::uint64_t weight = rendezvous_weight(zone, state.config.vm);
+    const std::uint64_t weight = rendezvous_weight(zone, subject);
     if (!chosen.empty() && weight <= highest) continue;
     chosen = zone;
     highest = weight;
@@ -144,7 +149,7 @@
   request.coordinator_answered = false;
   context.effects.push_back(RequestPlacement{
       request_number, placement_requirements(context.state, request),
-      cell_zone(context.state)});
+      cell_zone(context.state, request_number)});
 }
 
 }  // namespace
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -129,7 +129,7 @@
   request.move.target_requested_at = context.state.now;
   context.effects.push_back(RequestPlacement{
       request_number, move_requirements(context.state, request),
-      cell_zone(context.state)});
+      cell_zone(context.state, request_number)});
 }
 
 void start_copy(const RoutingContext& context, std::uint64_t request_number,
--- a/src/libperidotreach/routing/placement_coordinator.cc
+++ b/src/libperidotreach/routing/placement_coordinator.cc
@@ -297,7 +297,7 @@
 Millis retry_after_rejection(const RoutingState& state,
                              const WaitingPlacement& waiting) {
   // A coordinator whose zone is closed only passes requests on.
-  if (!cell_zone(state).empty()) return 0;
+  if (is_own_cell_closed(state)) return 0;
   const Millis wait_left = waiting.requirements.wait_left;
   if (wait_left == 0 || is_prioritized(waiting.requirements)) return 0;
   const std::optional<Millis> wait = expected_wait(
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -64,7 +64,7 @@
 // cell is dropped, so that no request is placed twice; processes that do not
 // know of the closing ask again.
 void ask_other_cell(RoutingState& state) {
-  if (cell_zone(state).empty()) return;
+  if (!is_own_cell_closed(state)) return;
   state.placement_queue.clear();
   for (auto& [request_number, request] : state.requests) {
     if (request.placement_deadline != 0) request.placement_requested_at = 0;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -125,10 +125,12 @@
 // Returns the requirements of a request that has not run.
 PlacementRequirements placement_requirements(const RoutingState& state,
                                              const RequestState& request);
-// Returns the availability zone whose cell places the requests of this process:
-// empty for its own, another one while that is closed. The processes of a
-// closed zone spread over the open ones.
-std::string cell_zone(const RoutingState& state);
+// Returns whether this process's cell places nothing as its zone is closed.
+bool is_own_cell_closed(const RoutingState& state);
+// Returns the availability zone whose cell places the request: empty for this
+// process's own, another one while that is closed. The requests of a closed
+// zone spread over the open ones.
+std::string cell_zone(const RoutingState& state, std::uint64_t request_number);
 // Returns the endpoint criteria for `requirements`.
 EndpointCriteria endpoint_criteria(const RoutingState& state,
                                    const PlacementRequirements& requirements);
--- a/tests/routing/closed_zones_test.cc
+++ b/tests/routing/closed_zones_test.cc
@@ -3,6 +3,8 @@
 #include "libperidotreach/routing/closed_zones.h"
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
 
 #include "tests/routing/router_harness.h"
 
@@ -139,6 +141,19 @@
   CHECK(later[0].cell_zone.empty());
 }
 
+TEST_CASE("requests of a closed cell spread over all open ones", "[zones]") {
+  RouterHarness router = large_fleet_router();
+  router.apply(EndpointListed{sample_endpoint("g1", "engines", "c")});
+  close_zone(router, "a");
+  for (int i = 0; i < 100; ++i) router.send_request_unplaced("/stream/1");
+  std::map<std::string, int> asked;
+  for (const auto& placement : effects_of<RequestPlacement>(router.effects))
+    asked[placement.cell_zone] += 1;
+  CHECK(asked.size() == 2);
+  CHECK(asked["b"] >= 35);
+  CHECK(asked["c"] >= 35);
+}
+
 TEST_CASE("a process of an open zone keeps its cell", "[zones]") {
   RouterHarness router = large_fleet_router();
   close_zone(router, "b");
