Rate of endpoints that may be cold

Change: while an endpoint may be cold (entry, start, failure, opened zone), requests to it need permits at the rate that its service's configuration names (cold_per_s), in proportion to the part of the fleet in contact. Moves take a target that needs no permit or has one at hand. A request whose awaited permit has arrived uses it instead of asking for another one; with limits of endpoints, too. No message where no rate is configured.

add_permits takes the lifetime of the permits now; its tests name the one that they used before.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -115,7 +115,7 @@
   const std::string& zone =
       criteria.zone.empty() ? state.config.zone : criteria.zone;
   if (endpoint.entry.zone != zone) sum += criteria.other_zone_cost;
-  if (endpoint.warm_up_until > state.now) sum += kWarmUpCost;
+  if (endpoint.cold_phase.entry_until > state.now) sum += kWarmUpCost;
   return sum;
 }
 
@@ -134,10 +134,10 @@
 }
 
 // Returns whether a request may be sent to the endpoint now as far as its limit
-// is concerned, or a permit for it may be requested.
-bool is_within_limit(const EndpointState& endpoint,
+// or its being cold are concerned, or a permit for it may be requested.
+bool is_within_limit(const ServiceSpec* service, const EndpointState& endpoint,
                      const EndpointCriteria& criteria, Millis now) {
-  if (!endpoint.limit.requests_per_second) return true;
+  if (!needs_permit(service, endpoint, now)) return true;
   if (has_permit(endpoint.permits, now)) return true;
   return !criteria.needs_permit_now && endpoint.permits.denied_until <= now;
 }
@@ -160,6 +160,12 @@
 
 }  // namespace
 
+bool needs_permit(const ServiceSpec* service, const EndpointState& endpoint,
+                  Millis now) {
+  return endpoint.limit.requests_per_second ||
+         cold_rate(service, endpoint, now).has_value();
+}
+
 bool accepts_new_requests(const EndpointState& endpoint, Millis now) {
   return endpoint.listed && endpoint.leaving_since == 0 &&
          endpoint.zone_closed_since == 0 && endpoint.ejected_until <= now &&
@@ -173,12 +179,13 @@
 
 std::string choose_endpoint(const RoutingState& state,
                             const EndpointCriteria& criteria) {
+  const ServiceSpec* service = find_service(state, criteria.service);
   const EngineSpec* engine = find_engine_spec(state, criteria.service);
   std::string best;
   double lowest_cost = 0;
   for (const auto& [id, endpoint] : state.endpoints) {
     if (!is_candidate(endpoint, criteria, state.now)) continue;
-    if (!is_within_limit(endpoint, criteria, state.now)) continue;
+    if (!is_within_limit(service, endpoint, criteria, state.now)) continue;
     const EndpointUsage reserved = reserved_usage(state, id);
     const bool in_other_zone =
         !criteria.zone.empty() && endpoint.entry.zone != criteria.zone;
@@ -209,9 +216,10 @@
 
 std::optional<Millis> next_permit_at(const RoutingState& state,
                                      const EndpointCriteria& criteria) {
+  const ServiceSpec* service = find_service(state, criteria.service);
   std::optional<Millis> earliest;
   for (const auto& [id, endpoint] : state.endpoints) {
-    if (!endpoint.limit.requests_per_second) continue;
+    if (!needs_permit(service, endpoint, state.now)) continue;
     if (!is_candidate(endpoint, criteria, state.now)) continue;
     const Millis at = std::max(state.now, endpoint.permits.denied_until);
     if (!earliest || at < *earliest) earliest = at;
@@ -262,6 +270,7 @@
   endpoint.own_usage.transport_failures =
       transport_failures_at(endpoint, now) + 1;
   endpoint.transport_failures_updated_at = now;
+  suspect_cold(endpoint.cold_phase, now);
 }
 
 double transport_failures_at(const EndpointState& endpoint, Millis now) {
@@ -271,13 +280,17 @@
          std::exp2(-age / kTransportFailureHalfLifeMs);
 }
 
-const EngineSpec* find_engine_spec(const RoutingState& state,
-                                   const std::string& service) {
+const ServiceSpec* find_service(const RoutingState& state,
+                                const std::string& service) {
   if (!state.manifest) return nullptr;
   const auto found = state.manifest->services.find(service);
-  const bool has_engine = found != state.manifest->services.end() &&
-                          found->second.engine.has_value();
-  return has_engine ? &*found->second.engine : nullptr;
+  return found == state.manifest->services.end() ? nullptr : &found->second;
+}
+
+const EngineSpec* find_engine_spec(const RoutingState& state,
+                                   const std::string& service) {
+  const ServiceSpec* found = find_service(state, service);
+  return found != nullptr && found->engine ? &*found->engine : nullptr;
 }
 
 bool is_prioritized(const PlacementRequirements& requirements) {
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -79,6 +79,11 @@
 std::vector<std::string> avoided_endpoints(const RoutingState& state,
                                            const std::string& service);
 
+// Returns whether requests to the endpoint need permits: it has a limit or may
+// be cold. `service` is its service, null if that is not configured.
+bool needs_permit(const ServiceSpec* service, const EndpointState& endpoint,
+                  Millis now);
+
 // Returns whether the endpoint is listed, not leaving, in an open availability
 // zone, not ejected, and has not asked for a pause.
 bool accepts_new_requests(const EndpointState& endpoint, Millis now);
@@ -100,6 +105,10 @@
 // Returns the number of recent transport failures, decayed to `now`.
 double transport_failures_at(const EndpointState& endpoint, Millis now);
 
+// Returns the configuration of the service, null if it has none.
+const ServiceSpec* find_service(const RoutingState& state,
+                                const std::string& service);
+
 // Returns the engine specification of the service, null if it is a plain
 // service.
 const EngineSpec* find_engine_spec(const RoutingState& state,
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -328,8 +328,7 @@
   const PlacementRequested move{state.config.vm, request_number,
                                 move_requirements(state, request)};
   const std::string target =
-      choose_with_permit(context, endpoint_criteria(state, move.requirements))
-          .endpoint;
+      choose_for_move(context, endpoint_criteria(state, move.requirements));
   if (!target.empty() && !charge_move(context, move, process_count(state))) {
     record_decision(
         context, "move_withheld", request_number,
--- a/src/libperidotreach/routing/limited_endpoints.cc
+++ b/src/libperidotreach/routing/limited_endpoints.cc
@@ -1,5 +1,6 @@
-// Endpoints that limit the rate of their requests: who knows of a limit, and
-// the permits that the fleet shares (request_permits.h).
+// Endpoints that limit the rate of their requests, or take fewer while they are
+// cold (cold_phase.h): who knows of a limit, and the permits that the fleet
+// shares (request_permits.h).
 
 #include <algorithm>
 
@@ -21,6 +22,50 @@
 // permits are added by that.
 constexpr Millis kBucketRetention = 10 * kSecond;
 
+bool needs_permit(const RoutingState& state, const EndpointState& endpoint) {
+  return needs_permit(find_service(state, endpoint.entry.service), endpoint,
+                      state.now);
+}
+
+// Returns the limit with which permits are requested: none if the endpoint may
+// be cold and takes fewer requests for that.
+EndpointLimit requested_limit(const RoutingState& state,
+                              const EndpointState& endpoint) {
+  const std::optional<double>& limit = endpoint.limit.requests_per_second;
+  const std::optional<double> cold = cold_rate(state, endpoint);
+  return cold && (!limit || *cold < *limit) ? EndpointLimit() : endpoint.limit;
+}
+
+// Returns the terms on which this process hands out permits; none if they are
+// not limited. A request that names no limit is for an endpoint that may be
+// cold, which this process need not know yet.
+std::optional<PermitTerms> permit_terms(const RoutingState& state,
+                                        const EndpointState& endpoint,
+                                        const PermitsRequested& event) {
+  const ServiceSpec* service = find_service(state, endpoint.entry.service);
+  const bool is_cold = !event.limit.requests_per_second ||
+                       cold_rate(service, endpoint, state.now).has_value();
+  std::optional<PermitTerms> terms;
+  if (endpoint.limit.requests_per_second)
+    terms = limit_terms(*endpoint.limit.requests_per_second, event.live_share);
+  const bool has_cold_rate =
+      service != nullptr && service->cold_requests_per_second > 0;
+  if (!is_cold || !has_cold_rate) return terms;
+  const PermitTerms cold =
+      cold_terms(service->cold_requests_per_second, event.live_share);
+  return terms ? stricter(*terms, cold) : cold;
+}
+
+// Returns the best endpoint that needs no permit or has one at hand, which is
+// used rather than another one awaited; any other one if there is none.
+std::string choose_with_permit_at_hand(const RoutingContext& context,
+                                       const EndpointCriteria& criteria) {
+  EndpointCriteria at_hand = criteria;
+  at_hand.needs_permit_now = true;
+  const std::string id = choose_endpoint(context.state, at_hand);
+  return id.empty() ? choose_endpoint(context.state, criteria) : id;
+}
+
 }  // namespace
 
 PermittedChoice choose_with_permit(const RoutingContext& context,
@@ -31,18 +76,31 @@
                               awaited->permits.requested_at != 0 &&
                               !criteria.needs_permit_now;
   if (is_outstanding) return {"", awaited_permit};
-  const std::string id = choose_endpoint(context.state, criteria);
+  const bool has_arrived =
+      awaited != nullptr && has_permit(awaited->permits, context.state.now);
+  const std::string id = has_arrived
+                             ? choose_with_permit_at_hand(context, criteria)
+                             : choose_endpoint(context.state, criteria);
   EndpointState* endpoint = find_endpoint(context, id);
   if (endpoint == nullptr) return {};
-  if (!endpoint->limit.requests_per_second) return {id, ""};
+  if (!needs_permit(context.state, *endpoint)) return {id, ""};
   if (use_permit(endpoint->permits, context.state.now)) return {id, ""};
   context.state.permits_wanted.insert(id);
   return {"", id};
 }
 
+std::string choose_for_move(const RoutingContext& context,
+                            EndpointCriteria criteria) {
+  const PermittedChoice choice = choose_with_permit(context, criteria);
+  if (!choice.endpoint.empty() || choice.awaited_permit.empty())
+    return choice.endpoint;
+  criteria.needs_permit_now = true;
+  return choose_with_permit(context, criteria).endpoint;
+}
+
 void overdraw_permits(const RoutingContext& context, const std::string& id) {
   EndpointState* endpoint = find_endpoint(context, id);
-  if (endpoint == nullptr || !endpoint->limit.requests_per_second) return;
+  if (endpoint == nullptr || !needs_permit(context.state, *endpoint)) return;
   if (use_permit(endpoint->permits, context.state.now)) return;
   endpoint->permits.overdrawn += 1;
   context.state.permits_wanted.insert(id);
@@ -68,6 +126,7 @@
                           const EndpointAnswered& event) {
   EndpointState* endpoint = find_endpoint(context, event.endpoint);
   if (endpoint == nullptr) return;
+  observe_answer(endpoint->cold_phase, context.state.now);
   endpoint->own_limit = {event.notice.requests_per_second, context.state.now};
   observe_limit(context, *endpoint, endpoint->own_limit,
                 context.state.config.vm);
@@ -79,20 +138,43 @@
        {"retry_after_ms", std::to_string(event.notice.retry_after)}});
 }
 
+void record_if_cold(const RoutingContext& context,
+                    const EndpointState& endpoint, bool was_cold,
+                    const std::string& cause) {
+  const RoutingState& state = context.state;
+  const std::optional<double> rate = cold_rate(state, endpoint);
+  if (was_cold || !rate) return;
+  const ColdPhase& phase = endpoint.cold_phase;
+  const auto age = [&](Millis since) {
+    return since == 0 ? std::string("none") : std::to_string(state.now - since);
+  };
+  record_decision(context, "endpoint_may_be_cold", 0,
+                  {{"endpoint", endpoint.entry.id},
+                   {"requests_per_second", std::to_string(*rate)},
+                   {"cause", cause},
+                   {"entry_left_ms", std::to_string(std::max<Millis>(
+                                         0, phase.entry_until - state.now))},
+                   {"started_age_ms", age(phase.started_at)},
+                   {"suspected_age_ms", age(phase.suspected_since)}});
+}
+
 void on_permits_requested(const RoutingContext& context,
                           const PermitsRequested& event) {
   RoutingState& state = context.state;
-  EndpointLimit limit = event.limit;
+  const std::optional<double>& limit = event.limit.requests_per_second;
+  // For an endpoint that this process does not know, only the limit that the
+  // other one knows can be applied.
+  PermitGrant grant{0, kMaxPermitWait};
   if (EndpointState* endpoint = find_endpoint(context, event.endpoint)) {
-    observe_limit(context, *endpoint, event.limit, event.peer);
-    limit = endpoint->limit;
-  }
-  PermitGrant grant{event.count, 0};
-  if (limit.requests_per_second) {
-    grant = take_from_bucket(
-        state.permit_buckets[event.endpoint],
-        permitted_rate(*limit.requests_per_second, event.live_share),
-        event.count, state.now);
+    if (limit) observe_limit(context, *endpoint, event.limit, event.peer);
+    const auto terms = permit_terms(state, *endpoint, event);
+    grant = terms ? take_from_bucket(state.permit_buckets[event.endpoint],
+                                     *terms, event.count, state.now)
+                  : PermitGrant{event.count, 0};
+  } else if (limit) {
+    grant = take_from_bucket(state.permit_buckets[event.endpoint],
+                             limit_terms(*limit, event.live_share), event.count,
+                             state.now);
   }
   context.effects.push_back(
       AnswerPermits{event.peer, event.endpoint, grant, event.requested_at});
@@ -103,8 +185,10 @@
   RoutingState& state = context.state;
   EndpointState* endpoint = find_endpoint(context, event.endpoint);
   if (endpoint == nullptr) return;
+  const Millis lifetime =
+      cold_rate(state, *endpoint) ? kColdPermitLifetime : kPermitLifetime;
   const bool is_in_time = add_permits(endpoint->permits, event.grant,
-                                      event.requested_at, state.now);
+                                      event.requested_at, lifetime, state.now);
   if (is_in_time && event.grant.permits == 0) {
     record_decision(
         context, "permits_denied", 0,
@@ -123,8 +207,8 @@
     if (endpoint == nullptr) continue;
     const auto count = take_due_permit_request(endpoint->permits, state.now);
     if (!count) continue;
-    context.effects.push_back(
-        RequestPermits{id, *count, endpoint->limit, state.now});
+    context.effects.push_back(RequestPermits{
+        id, *count, requested_limit(state, *endpoint), state.now});
   }
   state.permits_wanted.clear();
 }
--- a/src/libperidotreach/routing/manifest.h
+++ b/src/libperidotreach/routing/manifest.h
@@ -68,6 +68,10 @@
 struct ServiceSpec {
   std::string name;
   std::uint32_t max_connections = 0;
+  // How long an endpoint is cold after its start, and the requests a second
+  // that a cold one takes from all processes together; 0 if it is not limited.
+  Millis cold_start = 0;
+  double cold_requests_per_second = 0;
   std::optional<EngineSpec> engine;
 
   bool operator==(const ServiceSpec&) const = default;
--- a/src/libperidotreach/routing/placement_coordinator.cc
+++ b/src/libperidotreach/routing/placement_coordinator.cc
@@ -122,8 +122,7 @@
                 const PlacementRequested& event) {
   RoutingState& state = context.state;
   std::string endpoint =
-      choose_with_permit(context, endpoint_criteria(state, event.requirements))
-          .endpoint;
+      choose_for_move(context, endpoint_criteria(state, event.requirements));
   update_blocked_moves(state, event, !endpoint.empty());
   if (!endpoint.empty() &&
       !charge_move(context, event, coordinator_count(state))) {
--- a/src/libperidotreach/routing/request_permits.cc
+++ b/src/libperidotreach/routing/request_permits.cc
@@ -11,6 +11,18 @@
 constexpr Millis kBucketPeriod = 500;
 constexpr double kMinBucketCapacity = 3;
 
+// The same for endpoints that may be cold: a tenth of what they take in the
+// second in which it is counted.
+constexpr Millis kColdBucketPeriod = 100;
+
+// Permits that the buckets of all parts of a fleet keep in any case, beside one
+// each, so that the permits of low rates are not lost between two requests.
+constexpr double kMinSharedPermits = 2;
+
+// Lowest rate of a small part of a split fleet, so that the time until the next
+// permit stays finite.
+constexpr double kMinColdPermitsPerSecond = 0.01;
+
 // Rate for endpoints that take no requests. A request now and then shows when
 // the limit ends.
 constexpr double kMinPermitsPerSecond = 0.2;
@@ -30,14 +42,30 @@
   return std::max(requests_per_second, kMinPermitsPerSecond) * part;
 }
 
-PermitGrant take_from_bucket(PermitBucket& bucket, double permits_per_second,
+PermitTerms limit_terms(double requests_per_second, double live_share) {
+  const double rate = permitted_rate(requests_per_second, live_share);
+  return {rate, std::max(kMinBucketCapacity, rate * kBucketPeriod / kSecond)};
+}
+
+PermitTerms cold_terms(double requests_per_second, double live_share) {
+  const double rate =
+      std::max(requests_per_second * live_share, kMinColdPermitsPerSecond);
+  return {rate, std::max(1.0 + kMinSharedPermits * live_share,
+                         rate * kColdBucketPeriod / kSecond)};
+}
+
+PermitTerms stricter(const PermitTerms& left, const PermitTerms& right) {
+  return {std::min(left.permits_per_second, right.permits_per_second),
+          std::min(left.bucket_capacity, right.bucket_capacity)};
+}
+
+PermitGrant take_from_bucket(PermitBucket& bucket, const PermitTerms& terms,
                              std::uint32_t wanted, Millis now) {
-  const double per_ms = permits_per_second / kSecond;
+  const double per_ms = terms.permits_per_second / kSecond;
   if (bucket.refilled_at != 0) {
     const auto elapsed = static_cast<double>(now - bucket.refilled_at);
-    const double capacity =
-        std::max(kMinBucketCapacity, per_ms * kBucketPeriod);
-    bucket.permits = std::min(capacity, bucket.permits + per_ms * elapsed);
+    bucket.permits =
+        std::min(terms.bucket_capacity, bucket.permits + per_ms * elapsed);
   }
   bucket.refilled_at = now;
   PermitGrant grant;
@@ -84,14 +112,14 @@
 }
 
 bool add_permits(EndpointPermits& permits, const PermitGrant& grant,
-                 Millis requested_at, Millis now) {
+                 Millis requested_at, Millis lifetime, Millis now) {
   if (permits.requested_at == 0 || permits.requested_at != requested_at)
     return false;
   permits.requested_at = 0;
   const std::uint32_t repaid = std::min(permits.overdrawn, grant.permits);
   permits.overdrawn -= repaid;
   for (std::uint32_t i = repaid; i < grant.permits; ++i)
-    permits.lapse_at.push_back(requested_at + kPermitLifetime);
+    permits.lapse_at.push_back(requested_at + lifetime);
   if (grant.permits == 0) permits.denied_until = now + grant.retry_after;
   return true;
 }
--- a/src/libperidotreach/routing/request_permits.h
+++ b/src/libperidotreach/routing/request_permits.h
@@ -20,6 +20,10 @@
 // Time for the coordinator to answer.
 inline constexpr Millis kPermitTimeout = 120;
 
+// The same for an endpoint that may be cold: what it takes is counted within a
+// single second, so permits must not pile up.
+inline constexpr Millis kColdPermitLifetime = 200;
+
 // Permits that one process requests at once at the most.
 inline constexpr std::uint32_t kMaxPermitsAtOnce = 8;
 
@@ -54,10 +58,29 @@
 // endpoint's rate.
 double permitted_rate(double requests_per_second, double live_share);
 
-// Takes up to `wanted` permits out of a bucket that fills at
-// `permits_per_second`. Processes that get none are given different
-// times to request again, so that they do not all return at once.
-PermitGrant take_from_bucket(PermitBucket& bucket, double permits_per_second,
+// How a coordinator hands out the permits of an endpoint.
+struct PermitTerms {
+  double permits_per_second = 0;
+  // Permits that the bucket collects while none are requested.
+  double bucket_capacity = 0;
+
+  bool operator==(const PermitTerms&) const = default;
+};
+
+// Returns the terms for an endpoint that names a limit.
+PermitTerms limit_terms(double requests_per_second, double live_share);
+
+// Returns the terms for an endpoint that may be cold. The parts of a split
+// fleet together hand out no more than the endpoint's rate.
+PermitTerms cold_terms(double requests_per_second, double live_share);
+
+// Returns the stricter of both terms in each respect.
+PermitTerms stricter(const PermitTerms& left, const PermitTerms& right);
+
+// Takes up to `wanted` permits out of a bucket. Processes that get none are
+// given different times to request again, so that they do not all return at
+// once.
+PermitGrant take_from_bucket(PermitBucket& bucket, const PermitTerms& terms,
                              std::uint32_t wanted, Millis now);
 
 // The permits that one process has for an endpoint.
@@ -88,10 +111,10 @@
 std::optional<std::uint32_t> take_due_permit_request(EndpointPermits& permits,
                                                      Millis now);
 
-// Adds the permits that were requested at `requested_at`. Returns whether the
-// answer was in time.
+// Adds the permits that were requested at `requested_at` and lapse `lifetime`
+// later. Returns whether the answer was in time.
 bool add_permits(EndpointPermits& permits, const PermitGrant& grant,
-                 Millis requested_at, Millis now);
+                 Millis requested_at, Millis lifetime, Millis now);
 
 // Gives up an unanswered request. Returns whether there was one.
 bool expire_permit_request(EndpointPermits& permits, Millis now);
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -242,7 +242,9 @@
                        std::uint64_t request_number, RequestState& request) {
   EndpointState* endpoint = find_endpoint(context, request.endpoint);
   if (endpoint != nullptr) {
+    const bool was_cold = cold_rate(context.state, *endpoint).has_value();
     record_connect_failure(*endpoint, context.state.now);
+    record_if_cold(context, *endpoint, was_cold, "connection failed");
     record_decision(context, "endpoint_ejected", request_number,
                     {{"endpoint", request.endpoint},
                      {"cause", "connection failed"},
@@ -339,7 +341,9 @@
                       event.status >= kFirstServerError;
   record_answer(*endpoint, failed, context.state.now);
   if (event.outcome == AttemptOutcome::kBroken && event.status == 0) {
+    const bool was_cold = cold_rate(context.state, *endpoint).has_value();
     record_transport_failure(*endpoint, context.state.now);
+    record_if_cold(context, *endpoint, was_cold, "answer failed");
   }
 }
 
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -65,6 +65,12 @@
   mark_zone(context.state, zone, 0);
   record_decision(context, "zone_opened", 0,
                   {{"zone", zone}, {"revision", revision}, {"source", cause}});
+  for (auto& [id, endpoint] : context.state.endpoints) {
+    if (endpoint.entry.zone != zone) continue;
+    const bool was_cold = cold_rate(context.state, endpoint).has_value();
+    suspect_cold(endpoint.cold_phase, context.state.now);
+    record_if_cold(context, endpoint, was_cold, "its zone was closed");
+  }
 }
 
 void apply(const RoutingContext& context, const ZoneOpened& event) {
@@ -116,6 +122,7 @@
     EndpointState new_state;
     new_state.own_usage.endpoint = new_state.peer_usage.endpoint = entry.id;
     if (has_restarted) new_state.own_usage = found->second.own_usage;
+    observe_start(new_state.cold_phase, state.now);
     state.endpoints[entry.id] = new_state;
     record_decision(context, "endpoint_listed", 0,
                     {{"endpoint", entry.id}, {"service", entry.service}});
@@ -129,12 +136,15 @@
     return;
   }
   const bool is_relisted = !endpoint.listed;
+  const bool was_cold =
+      !endpoint.entry.id.empty() && cold_rate(state, endpoint).has_value();
   endpoint.entry = entry;
   endpoint.listed = true;
   endpoint.was_removed = false;
   endpoint.entry_missing_since = 0;
   endpoint.zone_closed_since = zone_closed_since(state, entry.zone);
-  endpoint.warm_up_until = state.now + entry.remaining_warm_up;
+  observe_entry(endpoint.cold_phase, entry.remaining_warm_up, state.now);
+  record_if_cold(context, endpoint, was_cold, "entry or start");
   if (entry.leaving) mark_leaving(context, endpoint, "notice");
   const bool is_back =
       is_relisted && !entry.leaving && !endpoint.announced_leaving;
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -12,6 +12,7 @@
 #include "libperidotreach/length_model.h"
 #include "libperidotreach/quarantine.h"
 #include "libperidotreach/routing/closed_zones.h"
+#include "libperidotreach/routing/cold_phase.h"
 #include "libperidotreach/routing/endpoint_limit.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/placement_queue.h"
@@ -50,7 +51,7 @@
   bool announced_leaving = false;
   // When its availability zone was closed; 0 if that is open.
   Millis zone_closed_since = 0;
-  Millis warm_up_until = 0;
+  ColdPhase cold_phase;
   // Decaying share of failures among recent answers, from 0 to 1.
   double failure_rate = 0;
   Millis failure_rate_updated_at = 0;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -160,6 +160,10 @@
 PermittedChoice choose_with_permit(const RoutingContext& context,
                                    const EndpointCriteria& criteria,
                                    const std::string& awaited_permit = "");
+// The same for a move, whose source may end before a permit arrives: chooses
+// another endpoint if the best one has no permit at hand.
+std::string choose_for_move(const RoutingContext& context,
+                            EndpointCriteria criteria);
 // Counts a request that has to be sent to an endpoint without a permit.
 void overdraw_permits(const RoutingContext& context,
                       const std::string& endpoint);
@@ -168,6 +172,11 @@
                    const EndpointLimit& observed, const std::string& source);
 void on_endpoint_answered(const RoutingContext& context,
                           const EndpointAnswered& event);
+// Records the rate of an endpoint that may be cold now and was not before, and
+// why.
+void record_if_cold(const RoutingContext& context,
+                    const EndpointState& endpoint, bool was_cold,
+                    const std::string& cause);
 void on_permits_requested(const RoutingContext& context,
                           const PermitsRequested& event);
 void on_permits_answered(const RoutingContext& context,
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -23,7 +23,7 @@
   {"name":"r2","host":"a.test","path_prefix":"/entries/",
    "type":"non_idempotent","timeout_ms":800,"slo_ms":150,"priority":1,
    "service":"plain","attempts":1,"public":true}],
-  "services":[{"name":"engines","max_conns":222,
+  "services":[{"name":"engines","max_conns":222,"cold_start_s":1.5,"cold_per_s":28,
     "engine":{"slots":24,"kv_capacity":34197,"kv_token_bytes":163840,
       "link_mbps":24000.0,"moves":true,"backups":true,"stride":4,
       "handle_s":5.0}},{"name":"plain","max_conns":96}],
@@ -73,6 +73,9 @@
   CHECK(manifest.routes[1].allows_anonymous);
   CHECK(manifest.services.at("engines").engine->kv_cache_tokens == 34197);
   CHECK(manifest.services.at("engines").engine->handle_lifetime == 5000);
+  CHECK(manifest.services.at("engines").cold_start == 1500);
+  CHECK(manifest.services.at("engines").cold_requests_per_second == 28);
+  CHECK(manifest.services.at("plain").cold_requests_per_second == 0);
   CHECK_FALSE(manifest.services.at("plain").engine.has_value());
   CHECK(find_account(manifest, "k2")->name == "mill");
   CHECK(find_account(manifest, "k3") == nullptr);
--- a/tests/routing/endpoint_limits_test.cc
+++ b/tests/routing/endpoint_limits_test.cc
@@ -180,12 +180,12 @@
   CHECK_FALSE(use_permit(permits, 1000));
   CHECK(take_due_permit_request(permits, 1000) == 1U);
   CHECK(expire_permit_request(permits, 1000 + kPermitTimeout + 1));
-  CHECK_FALSE(add_permits(permits, {1, 0}, 1000, 1200));
+  CHECK_FALSE(add_permits(permits, {1, 0}, 1000, kPermitLifetime, 1200));
   CHECK_FALSE(has_permit(permits, 1200));
   permits = {};
   CHECK_FALSE(use_permit(permits, 2000));
   CHECK(take_due_permit_request(permits, 2000) == 1U);
-  CHECK(add_permits(permits, {1, 0}, 2000, 2010));
+  CHECK(add_permits(permits, {1, 0}, 2000, kPermitLifetime, 2010));
   CHECK(has_permit(permits, 2010));
   CHECK_FALSE(use_permit(permits, 2000 + kPermitLifetime));
 }
@@ -195,7 +195,7 @@
   permits.overdrawn = 2;
   CHECK_FALSE(use_permit(permits, 1000));
   CHECK(take_due_permit_request(permits, 1000) == 3U);
-  CHECK(add_permits(permits, {3, 0}, 1000, 1005));
+  CHECK(add_permits(permits, {3, 0}, 1000, kPermitLifetime, 1005));
   CHECK(use_permit(permits, 1005));
   CHECK_FALSE(use_permit(permits, 1005));
 }
--- a/tests/routing/limit_simulation.cc
+++ b/tests/routing/limit_simulation.cc
@@ -22,8 +22,12 @@
 }  // namespace
 
 LimitSimulation::LimitSimulation(std::size_t vms, std::size_t endpoints,
-                                 double requests_per_second)
-    : rate_(requests_per_second), endpoints_(endpoints), processes_(vms) {
+                                 std::optional<double> requests_per_second,
+                                 double cold_requests_per_second)
+    : rate_(requests_per_second),
+      cold_rate_(cold_requests_per_second),
+      endpoints_(endpoints),
+      processes_(vms) {
   for (std::size_t i = 0; i < vms; ++i) {
     processes_[i].vm = "vm-" + std::to_string(i);
     start(processes_[i]);
@@ -36,13 +40,23 @@
   process.arrived_at.clear();
   process.missed.clear();
   process.state = initial_routing_state({process.vm, "a", RetryBudgetLimits()});
-  apply(process, ManifestReceived{sample_manifest(1), {1, 1}, "store"});
+  Manifest manifest = sample_manifest(1);
+  manifest.services["plain"].cold_start = kSecond;
+  manifest.services["plain"].cold_requests_per_second = cold_rate_;
+  apply(process, ManifestReceived{manifest, {1, 1}, "store"});
   for (std::size_t i = 0; i < endpoints_; ++i) {
-    apply(process,
-          EndpointListed{sample_endpoint("p" + std::to_string(i), "plain")});
+    list(process, i);
   }
 }
 
+void LimitSimulation::list(Process& process, std::size_t endpoint) {
+  EndpointEntry entry =
+      sample_endpoint("p" + std::to_string(endpoint), "plain");
+  entry.sequence = static_cast<std::uint64_t>(now_);
+  entry.remaining_warm_up = std::max<Millis>(0, cold_until_[endpoint] - now_);
+  apply(process, EndpointListed{entry});
+}
+
 void LimitSimulation::apply(Process& process,
                             decltype(RoutingEvent::body) body) {
   RoutingEvent event;
@@ -212,6 +226,11 @@
   }
 }
 
+void LimitSimulation::list_cold(std::size_t endpoint, Millis remaining) {
+  cold_until_[endpoint] = now_ + remaining;
+  for (Process& process : processes_) list(process, endpoint);
+}
+
 void LimitSimulation::cut_off(std::size_t vm) {
   processes_[vm].is_cut_off = true;
 }
@@ -251,6 +270,19 @@
   return most;
 }
 
+std::size_t LimitSimulation::most_arrivals_in_second(Millis since) const {
+  std::map<std::string, std::deque<Millis>> windows;
+  std::size_t most = 0;
+  for (const SimulatedArrival& arrival : arrivals_) {
+    if (arrival.at < since) continue;
+    std::deque<Millis>& window = windows[arrival.endpoint];
+    window.push_back(arrival.at);
+    while (arrival.at - window.front() >= kSecond) window.pop_front();
+    most = std::max(most, window.size());
+  }
+  return most;
+}
+
 std::size_t LimitSimulation::arrivals_since(Millis since) const {
   return static_cast<std::size_t>(std::count_if(
       arrivals_.begin(), arrivals_.end(),
--- a/tests/routing/limit_simulation.h
+++ b/tests/routing/limit_simulation.h
@@ -1,13 +1,14 @@
 #pragma once
 
 // A fleet of routing reducers that send calls to endpoints with limited rates,
-// in virtual time. Processes exchange reports and requests for permits over
-// links with a delay, and may be cut off, paused or restarted.
+// or to cold ones, in virtual time. Processes exchange reports and requests for
+// permits over links with a delay, and may be cut off, paused or restarted.
 
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,9 +37,12 @@
 
 class LimitSimulation {
  public:
-  // Each endpoint takes `requests_per_second`.
+  // Each endpoint takes `requests_per_second` and names that as its limit if
+  // there is one; while cold, it takes `cold_requests_per_second` if that is
+  // not 0.
   LimitSimulation(std::size_t vms, std::size_t endpoints,
-                  double requests_per_second);
+                  std::optional<double> requests_per_second,
+                  double cold_requests_per_second = 0);
 
   // Runs for `duration` with `calls_per_second` in the whole fleet.
   void run(Millis duration, double calls_per_second);
@@ -51,6 +55,9 @@
   void resume(std::size_t vm);
   void restart(std::size_t vm);
 
+  // Every process learns that the endpoint stays cold for `remaining`.
+  void list_cold(std::size_t endpoint, Millis remaining);
+
   // Returns the process that coordinates the permits of an endpoint, by the
   // view of process `vm`.
   std::size_t coordinator(std::size_t endpoint, std::size_t vm) const;
@@ -59,6 +66,10 @@
   // after the grace period.
   std::size_t most_arrivals_in_window() const;
 
+  // Returns the largest number of arrivals at an endpoint in any second after
+  // `since`.
+  std::size_t most_arrivals_in_second(Millis since) const;
+
   // Returns how many calls reached all endpoints after `since`.
   std::size_t arrivals_since(Millis since) const;
 
@@ -83,6 +94,7 @@
 
   void apply(Process& process, decltype(RoutingEvent::body) body);
   void start(Process& process);
+  void list(Process& process, std::size_t endpoint);
   void send(Process& from, const std::string& to, std::function<void()> deliver,
             Millis delay);
   void later(Millis delay, Process& process, std::function<void()> action);
@@ -96,7 +108,10 @@
 
   Millis now_ = 1000;
   Millis started_at_ = 1000;
-  double rate_;
+  std::optional<double> rate_;
+  double cold_rate_;
+  // Until when each endpoint stays cold.
+  std::map<std::size_t, Millis> cold_until_;
   std::size_t endpoints_;
   double calls_due_ = 0;
   std::uint64_t random_ = 1;
