--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -175,7 +175,8 @@
   endpoint.entry_missing_since = 0;
   endpoint.zone_closed_since = zone_closed_since(state, entry.zone);
   observe_entry(endpoint.cold_phase, entry.remaining_warm_up, state.now);
-  record_if_cold(context, endpoint, was_cold, "entry or start");
+  if (entry.remaining_warm_up > 0)
+    record_if_cold(context, endpoint, was_cold, "entry");
   if (entry.leaving) mark_leaving(context, endpoint, "notice");
   const bool is_back =
       is_relisted && !entry.leaving && !endpoint.announced_leaving;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -325,6 +325,12 @@
                        static_cast<double>(state_.endpoints.size()));
     metrics_.set_gauge("closed_zones",
                        static_cast<double>(state_.closed_zones.size()));
+    metrics_.set_gauge("cold_endpoints",
+                       static_cast<double>(std::count_if(
+                           state_.endpoints.begin(), state_.endpoints.end(),
+                           [&](const auto& entry) {
+                             return cold_rate(state_, entry.second).has_value();
+                           })));
     metrics_.set_gauge("peers",
                        static_cast<double>(peers_.view().peers.size()));
     metrics_.set_gauge(
