--- a/src/libperidotreach/routing/request_permits.cc
+++ b/src/libperidotreach/routing/request_permits.cc
@@ -44,25 +44,31 @@
 
 PermitTerms limit_terms(double requests_per_second, double live_share) {
   const double rate = permitted_rate(requests_per_second, live_share);
-  return {rate, std::max(kMinBucketCapacity, rate * kBucketPeriod / kSecond)};
+  return {rate, std::max(kMinBucketCapacity, rate * kBucketPeriod / kSecond),
+          0};
 }
 
 PermitTerms cold_terms(double requests_per_second, double live_share) {
   const double rate =
       std::max(requests_per_second * live_share, kMinColdPermitsPerSecond);
-  return {rate, std::max(1.0 + kMinSharedPermits * live_share,
-                         rate * kColdBucketPeriod / kSecond)};
+  return {rate,
+          std::max(1.0 + kMinSharedPermits * live_share,
+                   rate * kColdBucketPeriod / kSecond),
+          live_share > kMajority ? 1.0 : 0.0};
 }
 
 PermitTerms stricter(const PermitTerms& left, const PermitTerms& right) {
   return {std::min(left.permits_per_second, right.permits_per_second),
-          std::min(left.bucket_capacity, right.bucket_capacity)};
+          std::min(left.bucket_capacity, right.bucket_capacity),
+          std::min(left.first_permits, right.first_permits)};
 }
 
 PermitGrant take_from_bucket(PermitBucket& bucket, const PermitTerms& terms,
                              std::uint32_t wanted, Millis now) {
   const double per_ms = terms.permits_per_second / kSecond;
-  if (bucket.refilled_at != 0) {
+  if (bucket.refilled_at == 0) {
+    bucket.permits = terms.first_permits;
+  } else {
     const auto elapsed = static_cast<double>(now - bucket.refilled_at);
     bucket.permits =
         std::min(terms.bucket_capacity, bucket.permits + per_ms * elapsed);
--- a/src/libperidotreach/routing/request_permits.h
+++ b/src/libperidotreach/routing/request_permits.h
@@ -63,6 +63,9 @@
   double permits_per_second = 0;
   // Permits that the bucket collects while none are requested.
   double bucket_capacity = 0;
+  // Permits in a new bucket: for the first request to an endpoint that has
+  // become cold, of which only a part with more than half of the fleet has one.
+  double first_permits = 0;
 
   bool operator==(const PermitTerms&) const = default;
 };
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "libperidotreach/routing/cold_phase.h"
+#include "libperidotreach/routing/request_permits.h"
 #include "tests/routing/limit_simulation.h"
 #include "tests/routing/router_harness.h"
 
@@ -168,6 +169,17 @@
   CHECK(unknown.front().grant.permits == 0);
 }
 
+TEST_CASE("the first request to an endpoint that becomes cold gets a permit",
+          "[cold]") {
+  PermitBucket whole;
+  const PermitTerms terms = cold_terms(kColdRate, 1);
+  CHECK(take_from_bucket(whole, terms, 1, 5000).permits == 1);
+  CHECK(take_from_bucket(whole, terms, 1, 5000).permits == 0);
+  PermitBucket part;
+  CHECK(take_from_bucket(part, cold_terms(kColdRate, 0.5), 1, 5000).permits ==
+        0);
+}
+
 TEST_CASE("a move goes to a warm engine rather than wait for a permit",
           "[cold]") {
   RouterHarness router = router_with_cold_engines();
