--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -29,7 +29,8 @@
 constexpr double kMaxMemoryShareOtherCellForMoves = 0.9;
 
 // Cost of a move to another zone, where a copy takes twice as long, and of a
-// target whose link is used by another copy.
+// target whose link is used by another copy. Engines leave on short notice, so
+// time on the links is scarcer than room: each cost outweighs a full engine.
 constexpr double kCrossZoneCopyCost = 1.2;
 constexpr double kConcurrentCopyCost = 2.0;
 
