--- a/src/libperidotreach/routing/notice_polls.cc
+++ b/src/libperidotreach/routing/notice_polls.cc
@@ -14,6 +14,13 @@
 
 }  // namespace
 
+PollResult poll_result(const PollAnswer& answer, int answers_in_a_row) {
+  if (answer.says_leaving) return PollResult::kLeaves;
+  if (!answer.closes_connection) return PollResult::kStays;
+  return answers_in_a_row < kClosedAnswersOfLeaving ? PollResult::kAskAgain
+                                                    : PollResult::kLeaves;
+}
+
 std::vector<std::string> engines_to_ask(const RoutingState& state,
                                         const NoticeDelivery& delivery) {
   std::vector<std::string> engines;
--- a/src/libperidotreach/routing/notice_polls.h
+++ b/src/libperidotreach/routing/notice_polls.h
@@ -33,6 +33,28 @@
   bool operator==(const NoticeDelivery&) const = default;
 };
 
+// Answers in a row that close the connection from which an engine counts as
+// leaving. Single answers of others do so now and then.
+inline constexpr int kClosedAnswersOfLeaving = 3;
+
+// An engine's answer to the question whether it leaves.
+struct PollAnswer {
+  // The state in its report, which is some hundred milliseconds old.
+  bool says_leaving = false;
+  // The head of the answer, which is not delayed: an engine that leaves closes
+  // its connections.
+  bool closes_connection = false;
+
+  bool operator==(const PollAnswer&) const = default;
+};
+
+// What follows from an answer.
+enum class PollResult { kStays, kAskAgain, kLeaves };
+
+// Returns what follows from the newest of `answers_in_a_row` answers, the
+// earlier of which closed the connection.
+PollResult poll_result(const PollAnswer& answer, int answers_in_a_row);
+
 // Returns the engines in use that are to be asked now. While the store's loss
 // is only suspected, these are engines of services whose endpoints leave.
 std::vector<std::string> engines_to_ask(const RoutingState& state,
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -33,10 +33,6 @@
 // bring their notices: a sixth of the shortest notice that they give.
 constexpr Millis kReportPollInterval = 300;
 
-// Answers in a row that close the connection from which an engine counts as
-// leaving. Single answers of others do so now and then.
-constexpr int kClosedAnswersOfLeaving = 3;
-
 // Delay before an engine that closed the connection is polled again.
 constexpr Millis kRepeatedPollDelay = 20;
 
@@ -227,27 +223,24 @@
                                    : "none"}});
 }
 
-// The state in a report is some hundred milliseconds old. The head of the
-// answer is not: an engine that leaves closes its connections. Others do so now
-// and then, so several answers in a row count.
 awaitable<void> RouterNode::poll_endpoint(std::string id, HttpTarget target) {
-  for (int closed = 1;; ++closed) {
+  PollResult result = PollResult::kAskAgain;
+  for (int answers = 1; result == PollResult::kAskAgain; ++answers) {
+    if (answers > 1) co_await sleep_for(kRepeatedPollDelay);
     ClientRequest request = wire_format_.report_request();
-    const ClientResponse answer = co_await fetch_response(
+    const ClientResponse response = co_await fetch_response(
         io_, target, std::move(request), kReportTimeout, kMaxControlBytes);
-    if (!answer.complete) co_return;
-    const bool is_leaving = wire_format_.decode_report(answer.body).leaving;
-    if (answer.closes_connection) {
-      log(LogLevel::kInfo, "engine_closes",
-          {{"endpoint", id},
-           {"answers", std::to_string(closed)},
-           {"state_says_leaving", is_leaving ? "true" : "false"}});
-    }
-    if (is_leaving) break;
-    if (!answer.closes_connection) co_return;
-    if (closed == kClosedAnswersOfLeaving) break;
-    co_await sleep_for(kRepeatedPollDelay);
+    if (!response.complete) co_return;
+    const PollAnswer answer{wire_format_.decode_report(response.body).leaving,
+                            response.closes_connection};
+    result = poll_result(answer, answers);
+    if (!answer.closes_connection) continue;
+    log(LogLevel::kInfo, "engine_closes",
+        {{"endpoint", id},
+         {"answers", std::to_string(answers)},
+         {"state_says_leaving", answer.says_leaving ? "true" : "false"}});
   }
+  if (result != PollResult::kLeaves) co_return;
   peers_.announce_endpoint_leaving(id, monotonic_now());
   post(EndpointLeaving{id});
 }
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -11,6 +11,7 @@
 
 using samples::effects_of;
 using samples::RouterHarness;
+using samples::sample_endpoint;
 
 // Returns a stream that has delivered `events` events.
 std::uint64_t running_stream(RouterHarness& router, int events) {
@@ -308,6 +309,34 @@
   CHECK(router.state.retry_budgets["engines"].retries.size() == 1);
 }
 
+// A copy to another zone, or over a link in use, takes twice as long.
+TEST_CASE("a move prefers a full engine to a slow copy", "[moves]") {
+  RouterHarness router;
+  router.apply(EndpointListed{sample_endpoint("e4", "engines", "b")});
+  PeerReportReceived peer;
+  peer.peer = "vm-3";
+  peer.endpoint_usage = {EndpointUsage{"e2"}, EndpointUsage{"e3"}};
+  peer.endpoint_usage[0].projected_tokens = 28000;
+  peer.endpoint_usage[1].incoming_copies = 1;
+  router.apply(peer);
+  PlacementRequirements move;
+  move.service = "engines";
+  move.projected_tokens = 3000;
+  move.zone = "a";
+  move.is_move = true;
+  move.excluded_endpoints = {"e1"};
+  const auto target = [&](std::uint64_t request) {
+    const auto answers = effects_of<AnswerPlacement>(
+        router.apply(PlacementRequested{"vm-2", request, move}));
+    REQUIRE(answers.size() == 1);
+    return answers[0].endpoint;
+  };
+  CHECK(target(1) == "e2");
+  // Without room there, the copy has to take longer.
+  move.excluded_endpoints = {"e2", "e1"};
+  CHECK(target(2) == "e4");
+}
+
 // The copies would share the target's link, so both would take twice as long.
 TEST_CASE("moves at the same moment get different targets", "[moves]") {
   RouterHarness router;
--- a/tests/routing/notice_polls_test.cc
+++ b/tests/routing/notice_polls_test.cc
@@ -48,5 +48,15 @@
   CHECK(engines_to_ask(router.state, kSuspected).empty());
 }
 
+TEST_CASE("an engine that keeps closing connections leaves", "[notice_polls]") {
+  const PollAnswer closes{false, true};
+  CHECK(poll_result({true, false}, 1) == PollResult::kLeaves);
+  CHECK(poll_result({false, false}, 1) == PollResult::kStays);
+  CHECK(poll_result(closes, 1) == PollResult::kAskAgain);
+  CHECK(poll_result({false, false}, 2) == PollResult::kStays);
+  CHECK(poll_result(closes, 2) == PollResult::kAskAgain);
+  CHECK(poll_result(closes, 3) == PollResult::kLeaves);
+}
+
 }  // namespace
 }  // namespace peridotreach
