Judge an engine by its events, a service by both measurements

Change: both measurements decide whether engines differ; the slowness of one is that of its last measured events.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -218,7 +218,7 @@
     }
     const double cost =
         endpoint_cost(state, endpoint, reserved, criteria, engine,
-                      slowness(speeds, endpoint.speed)) +
+                      slowness(speeds, endpoint.latest_speed)) +
         kMaxRandomCost * random_fraction(id, state.random);
     if (!best.empty() && cost >= lowest_cost) continue;
     best = id;
--- a/src/libperidotreach/routing/measured_speeds.cc
+++ b/src/libperidotreach/routing/measured_speeds.cc
@@ -37,6 +37,7 @@
       speed = merge_speeds(speed, found->second);
   }
   if (!is_known(speed)) return;
+  endpoint.latest_speed = speed;
   if (speed.event_group_ms != 0)
     endpoint.speed.event_group_ms = speed.event_group_ms;
   if (speed.prefill_ms != 0) endpoint.speed.prefill_ms = speed.prefill_ms;
@@ -88,7 +89,7 @@
                          std::vector<DecisionField>& fields) {
   const ServiceSpeeds speeds = service_speeds(state, endpoint.entry.service);
   if (!speeds.differ) return;
-  const EndpointSpeed& speed = endpoint.speed;
+  const EndpointSpeed& speed = endpoint.latest_speed;
   fields.push_back({"slowness", std::to_string(slowness(speeds, speed))});
   fields.push_back({"event_group_ms", std::to_string(speed.event_group_ms)});
   fields.push_back({"prefill_ms", std::to_string(speed.prefill_ms)});
@@ -104,7 +105,7 @@
     const ServiceSpeeds speeds = service_speeds(state, name);
     for (const auto& [id, endpoint] : state.endpoints) {
       if (endpoint.entry.service != name || !endpoint.listed) continue;
-      if (slowness(speeds, endpoint.speed) > 1) count += 1;
+      if (slowness(speeds, endpoint.latest_speed) > 1) count += 1;
     }
   }
   return count;
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -64,11 +64,12 @@
   EndpointLimit own_limit;
   Millis limit_ended_at = 0;
   EndpointPermits permits;
-  // What this process measured, and the speed that is known of the endpoint
-  // since its start.
+  // What this process measured, the newest of each measurement that is known
+  // since the endpoint's start, and what was measured at the same time last.
   SpeedSamples event_group_samples;
   SpeedSamples prefill_samples;
   EndpointSpeed speed;
+  EndpointSpeed latest_speed;
   Millis speed_updated_at = 0;
   // Usage by this process and by all peers.
   EndpointUsage own_usage;
--- a/src/libperidotreach/routing/service_speeds.cc
+++ b/src/libperidotreach/routing/service_speeds.cc
@@ -84,7 +84,10 @@
 
 double slowness(const ServiceSpeeds& service, const EndpointSpeed& speed) {
   if (!service.differ) return 1;
-  const double time = group_time(speed, service.groups_per_prefill);
+  // The events of its generations count first: callers see these.
+  const double time = speed.event_group_ms != 0
+                          ? speed.event_group_ms
+                          : group_time(speed, service.groups_per_prefill);
   return time > 0 ? relative_time(time, service.event_group_ms)
                   : service.slowest;
 }
--- a/src/libperidotreach/routing/service_speeds.h
+++ b/src/libperidotreach/routing/service_speeds.h
@@ -31,9 +31,9 @@
 // Returns the comparison of all endpoints of a service.
 ServiceSpeeds compare_speeds(const std::vector<EndpointSpeed>& speeds);
 
-// Returns the time that an endpoint takes for its work relative to the median
-// one; 1 if the service's endpoints hardly differ. One of unknown speed counts
-// as slow until it has shown its speed.
+// Returns the time that an endpoint, as last measured, takes for its work
+// relative to the median one; 1 if the service's endpoints hardly differ. One
+// of unknown speed counts as slow until it has shown its speed.
 double slowness(const ServiceSpeeds& service, const EndpointSpeed& speed);
 
 }  // namespace peridotreach
