Tests of clients that break off, never end or do not read

Clients outside our control ended a process by memory. Change: one test a row, with real processes, 60 clients, a VM of 110 MB, bodies of 4 MiB at most; 400 readers of streams; 300 idle or half-open connections at 400 descriptors. Crowd and bounds are fixed here, before the product changes: resident memory and unread bytes within memory_mb, sockets within max_fds less the 200 for files, one ordinary request answered while the crowd is connected.

--- a/tests/system/router_bench.py
+++ b/tests/system/router_bench.py
@@ -35,7 +35,7 @@
           "link_mbps": 24000.0, "moves": False, "stride": 4, "handle_s": 5.0}
 
 
-def manifest(kind, timeout_ms=5000, engine=None, max_body_bytes=8192):
+def manifest(kind, timeout_ms=5000, engine=None, **limits):
     """Returns a manifest with one route of this kind. Its service has engines
     if `engine` describes them."""
     service = {"name": "plain", "max_conns": 500}
@@ -49,19 +49,21 @@
                     "type": kind, "timeout_ms": timeout_ms, "slo_ms": first_byte_ms,
                     "service": "plain", "attempts": 1, "public": False}],
         "services": [service],
-        "limits": {**LIMITS, "max_body_bytes": max_body_bytes},
+        "limits": {**LIMITS, **limits},
         "tenants": [{"name": "mill", "api_keys": [KEY]}]}).encode()
 
 
 class Bench:
     """A router, its store and one endpoint served by `serve`."""
 
-    def __init__(self, net, folder, kind, serve, receive_bytes=0, **options):
+    def __init__(self, net, folder, kind, serve, receive_bytes=0, vm=None,
+                 **options):
         """`options` are those of the manifest; `receive_bytes` bounds the
-        endpoint's receive buffer."""
+        endpoint's receive buffer; `vm` is what the settings say of the VM."""
         self.net, self.folder, self.serve = net, folder, serve
         self.manifest = manifest(kind, **options)
         self.receive_bytes = receive_bytes
+        self.vm = vm
         self.router = None
         self.store = Store()
         self.address = ""
@@ -80,6 +82,11 @@
         self.router = Router(str(BUILD / "peridot-router"), self.folder,
                              self.net, 0, place)
         self.router.write_settings([])
+        if self.vm:
+            path = pathlib.Path(self.router.path)
+            settings = json.loads(path.read_text(encoding="utf-8"))
+            path.write_text(json.dumps({**settings, "limits": self.vm}),
+                            encoding="utf-8")
         await self.router.start()
         for _ in range(READY_S * 10):
             await asyncio.sleep(0.1)
