One account of the memory that callers and endpoints decide on

Bodies were reserved and doubled without a bound for all of them, what is read where no body is due had none, and each attempt copied the body. Change: memory_account decides who waits (its socket is not read), who is refused with 503 and Retry-After, and who gives way; small requests have a share of their own. Bodies grow with what arrives, are lent to attempts instead of copied and are freed with the final response. One bound for trailers, chunk headers and pipelined requests; trailers are no longer taken into the header. Callers that do not take a response give way; connections of callers leave a quarter of the sockets to others.

--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "libperidotreach/routing/response_memory.h"
 #include "peridot-router/event_framer.h"
 #include "runtime/clock.h"
 
@@ -110,7 +111,9 @@
     }
     attempt.on_held(framer.partial_event_bytes() + exchange.buffered_bytes());
     if (framer.partial_event_bytes() > kMaxEventBytes) co_return broken;
-    co_await exchange.wait_for_drain();
+    if (!co_await exchange.wait_for_drain(kSlowCallerPatience)) {
+      attempt.on_caller_stalled();
+    }
   }
 }
 
@@ -126,8 +129,10 @@
   ClientRequest request = format.endpoint_request(exchange.request(), params);
   // An endpoint may answer, and close the connection, before it has read the
   // whole request, so the response is read even if the request was not sent.
+  exchange.begin_sending();
   attempt.is_request_sent =
       co_await connection.send(std::move(request), params.time_left);
+  exchange.end_sending();
   const unsigned status = co_await connection.read_head(kReadTimeout);
   if (status == 0) co_return make_ended(attempt, AttemptOutcome::kBroken);
   const std::vector<HttpHeader> headers = connection.headers();
--- a/src/peridot-router/endpoint_attempt.h
+++ b/src/peridot-router/endpoint_attempt.h
@@ -27,6 +27,8 @@
   CallerResponse response;
   // Called with the bytes that are held of the response when they change.
   std::function<void(std::size_t)> on_held;
+  // Called if the caller does not take the stream.
+  std::function<void()> on_caller_stalled;
 };
 
 // Passes an event to the reducer.
--- a/src/peridot-router/request_exchange.cc
+++ b/src/peridot-router/request_exchange.cc
@@ -1,5 +1,6 @@
 #include "peridot-router/request_exchange.h"
 
+#include <chrono>
 #include <utility>
 
 #include "runtime/clock.h"
@@ -40,10 +41,27 @@
   if (!ready) co_await wait_until_cancelled(changed_);
 }
 
-awaitable<void> RequestExchange::wait_for_drain() {
+awaitable<bool> RequestExchange::wait_for_drain(Millis patience) {
   while (buffered_bytes_.size() > kMaxBufferedBytes && !closed_) {
-    co_await wait_until_cancelled(drained_);
+    drained_.expires_after(std::chrono::milliseconds(patience));
+    error_code cancelled;
+    co_await drained_.async_wait(
+        asio::redirect_error(asio::use_awaitable, cancelled));
+    if (!cancelled) co_return false;
   }
+  co_return true;
+}
+
+void RequestExchange::release_body() {
+  body_released_ = true;
+  if (sending_ > 0) return;
+  request_.body = std::string();
+  if (on_body_released_) std::exchange(on_body_released_, nullptr)();
+}
+
+void RequestExchange::end_sending() {
+  --sending_;
+  if (body_released_) release_body();
 }
 
 std::optional<CallerResponse> RequestExchange::take_response() {
@@ -55,13 +73,21 @@
 }
 
 std::string RequestExchange::take_bytes() {
-  std::string taken = std::exchange(buffered_bytes_, std::string());
+  std::string taken;
+  if (buffered_bytes_.size() <= kMaxWrittenBytes) {
+    taken = std::exchange(buffered_bytes_, std::string());
+  } else {
+    taken = buffered_bytes_.substr(0, kMaxWrittenBytes);
+    buffered_bytes_.erase(0, kMaxWrittenBytes);
+  }
+  written_bytes_ = taken.size();
   drained_.cancel();
   return taken;
 }
 
 void RequestExchange::close() {
   closed_ = true;
+  on_body_released_ = nullptr;
   drained_.cancel();
   changed_.cancel();
 }
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -28,6 +28,10 @@
 // report.
 constexpr std::size_t kMaxControlBytes = 256U << 10U;
 
+constexpr unsigned kUnavailableStatus = 503;
+
+constexpr std::size_t kMaxQueryBodyBytes = 4U << 10U;
+
 // Interval at which engines are polled for their state while the store is
 // unreachable: a sixth of the shortest notice that they give before leaving.
 constexpr Millis kReportPollInterval = 300;
@@ -43,6 +47,10 @@
 // request changes the digest.
 constexpr std::uint32_t kReportedRequestsStep = 8;
 
+// Limits of requests for addresses, readiness and metrics, which have no body.
+constexpr HttpLimits kQueryLimits = {kMaxQueryBodyBytes,
+                                     HttpLimits().header_bytes};
+
 PeerRecord record_of(const RouterSettings& settings,
                      std::uint64_t incarnation) {
   return {settings.vm,
@@ -78,7 +86,7 @@
                  },
                  [this](std::uint64_t era) { see_store_era(era); },
                  coordination_handlers(), table_handlers()}) {
-  response_memory_.limit = response_limit(settings_.memory_limit);
+  update_memory_shares();
 }
 
 CoordinationHandlers RouterNode::coordination_handlers() {
@@ -119,11 +127,12 @@
   co_spawn(io_, accept_callers(), asio::detached);
   auto directory = start_http_server(
       io_, settings_.directory_listen.address, settings_.directory_listen.port,
-      {}, [this](HttpExchange& exchange) { return serve_addresses(exchange); });
+      kQueryLimits,
+      [this](HttpExchange& exchange) { return serve_addresses(exchange); });
   if (!ok(directory)) return directory;
   auto readiness = start_http_server(
       io_, settings_.readiness_listen.address, settings_.readiness_listen.port,
-      {}, [this](HttpExchange& exchange) {
+      kQueryLimits, [this](HttpExchange& exchange) {
         return serve_readiness_and_metrics(exchange);
       });
   if (!ok(readiness)) return readiness;
@@ -152,8 +161,14 @@
 void RouterNode::start_session(tcp::socket socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  auto session = std::make_shared<CallerSession>(std::move(socket), *this);
   std::erase_if(sessions_, [](const auto& weak) { return weak.expired(); });
+  if (!make_room_for_socket()) {
+    // All connections are in use; the new one is closed.
+    perform(RecordDecision{"connection_refused", 0, {{"reason", "sockets"}}});
+    return;
+  }
+  auto session = std::make_shared<CallerSession>(std::move(socket),
+                                                 next_session_++, *this);
   sessions_.push_back(session);
   co_spawn(io_, session->run(), asio::detached);
 }
@@ -496,6 +511,7 @@
     }
     post(
         ManifestReceived{std::move(*decoded), tables_[table].revision, source});
+    update_memory_shares();
     return;
   }
   if (table != kEndpointTable) return;
@@ -514,13 +530,126 @@
   post(EndpointListed{peridotreach::value(entry)});
 }
 
-std::shared_ptr<RequestExchange> RouterNode::open_exchange(RawRequest request) {
-  auto exchange = std::make_shared<RequestExchange>(io_, next_request_++,
-                                                    std::move(request));
+std::shared_ptr<RequestExchange> RouterNode::open_exchange(
+    const CallerSession& session, RawRequest request) {
+  auto exchange = std::make_shared<RequestExchange>(
+      io_, next_request_++, session.number(), std::move(request));
+  complete_request(memory_, session.number());
+  exchange->set_on_body_released([this, number = session.number()] {
+    peridotreach::release_request(memory_, number);
+  });
   exchanges_[exchange->request_number()] = exchange;
+  // The request needs a connection to an endpoint.
+  make_room_for_socket();
   return exchange;
 }
 
+void RouterNode::update_memory_shares() {
+  const CallerLimits& limits = caller_limits();
+  memory_.shares = memory_shares(
+      settings_.memory_limit, limits.max_body_bytes + limits.max_header_bytes +
+                                  kMaxRequestOverheadBytes);
+  memory_.responses.limit = memory_.shares.responses;
+}
+
+bool RouterNode::hold_request(const CallerSession& session, std::size_t bytes) {
+  const MemoryAnswer answer = peridotreach::hold_request(
+      memory_, session.number(), bytes, monotonic_now());
+  for (const std::uint64_t number : answer.to_end) {
+    if (const auto ended = find_session(number)) ended->end_reading();
+  }
+  return answer.is_granted;
+}
+
+void RouterNode::release_request(const CallerSession& session) {
+  peridotreach::release_request(memory_, session.number());
+}
+
+CallerResponse RouterNode::memory_refusal(const CallerSession& session,
+                                          const RawRequest& request,
+                                          bool is_ended, Millis retry_after) {
+  const std::string id = wire_format_.decode_request(request).id;
+  const auto held = memory_.requests.find(session.number());
+  const std::size_t bytes =
+      held == memory_.requests.end() ? 0 : held->second.bytes;
+  perform(RecordDecision{
+      "request_memory_refused",
+      0,
+      {{"reason", is_ended ? "gave_way" : "no_memory"},
+       {"id", id},
+       {"caller", session.caller_address()},
+       {"bytes", std::to_string(bytes)},
+       {"all_bytes", std::to_string(memory_.request_bytes)},
+       {"limit", std::to_string(memory_.shares.large_requests)}}});
+  release_request(session);
+  CallerResponse response;
+  response.status = kUnavailableStatus;
+  response.headers = wire_format_.local_response_headers(request, retry_after);
+  response.body = "no memory for this request\n";
+  return response;
+}
+
+std::shared_ptr<CallerSession> RouterNode::find_session(
+    std::uint64_t number) const {
+  for (const auto& weak : sessions_) {
+    const auto session = weak.lock();
+    if (session != nullptr && session->number() == number) return session;
+  }
+  return nullptr;
+}
+
+bool RouterNode::make_room_for_socket() {
+  const std::size_t most_sockets = caller_socket_limit(settings_.socket_limit);
+  const std::size_t most_connections =
+      memory_.shares.connections / kConnectionBytes;
+  const auto is_full = [&](std::size_t open) {
+    const bool is_out_of_sockets =
+        most_sockets > 0 && open + exchanges_.size() >= most_sockets;
+    return is_out_of_sockets || open >= most_connections;
+  };
+  // Closed sessions are still listed for a moment.
+  if (!is_full(sessions_.size())) return true;
+  std::vector<std::shared_ptr<CallerSession>> open;
+  for (const auto& weak : sessions_) {
+    auto session = weak.lock();
+    if (session != nullptr && !session->closing())
+      open.push_back(std::move(session));
+  }
+  std::size_t remaining = open.size();
+  if (!is_full(remaining)) return true;
+  std::erase_if(open, [](const auto& session) {
+    return !session->header_awaited_since().has_value();
+  });
+  std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) {
+    return a->header_awaited_since() < b->header_awaited_since();
+  });
+  for (const auto& session : open) {
+    if (!is_full(remaining)) break;
+    perform(RecordDecision{"connection_closed",
+                           0,
+                           {{"reason", "sockets"},
+                            {"caller", session->caller_address()},
+                            {"connections", std::to_string(remaining)}}});
+    session->close();
+    --remaining;
+  }
+  return !is_full(remaining);
+}
+
+void RouterNode::give_up_caller(std::uint64_t request) {
+  const auto exchange = find_exchange(request);
+  if (exchange == nullptr) return;
+  const auto session = find_session(exchange->session_number());
+  if (session == nullptr || session->closing()) return;
+  perform(RecordDecision{"caller_given_up",
+                         request,
+                         {{"reason", "response_not_taken"},
+                          {"caller", session->caller_address()}}});
+  session->close();
+  post(CallerDisconnected{request});
+  exchange->abort();
+}
+
 void RouterNode::start_exchange(
     const std::shared_ptr<RequestExchange>& exchange) {
   CallerRequest caller_request =
@@ -531,7 +660,7 @@
 
 void RouterNode::close_exchange(const RequestExchange& exchange) {
   exchanges_.erase(exchange.request_number());
-  release_response(response_memory_, exchange.request_number(), true);
+  release_response(memory_.responses, exchange.request_number(), true);
 }
 
 void RouterNode::on_caller_disconnected(const RequestExchange& exchange) {
@@ -574,10 +703,11 @@
   attempt->on_held = [this, key](std::size_t bytes) {
     hold_response_bytes(key.first, bytes);
   };
+  attempt->on_caller_stalled = [this, key] { give_up_caller(key.first); };
   attempts_[key] = attempt;
   const auto ended = [this, key](const std::exception_ptr&) {
     attempts_.erase(key);
-    release_response(response_memory_, key.first, false);
+    release_response(memory_.responses, key.first, false);
   };
   co_spawn(io_,
            run_attempt(attempt, exchange, wire_format_,
@@ -588,15 +718,20 @@
 }
 
 void RouterNode::hold_response_bytes(std::uint64_t request, std::size_t bytes) {
-  hold_response(response_memory_, request, bytes);
-  while (const auto largest = response_to_end(response_memory_)) {
-    log(LogLevel::kWarning, "response_memory_exhausted",
+  hold_response(memory_.responses, request, bytes);
+  while (const auto untaken =
+             untaken_response(memory_.responses, monotonic_now())) {
+    release_response(memory_.responses, *untaken, true);
+    give_up_caller(*untaken);
+  }
+  while (const auto largest = response_to_end(memory_.responses)) {
+    log(LogLevel::kWarning, "memory_.responsesexhausted",
         {{"request", std::to_string(*largest)},
          {"bytes",
-          std::to_string(response_memory_.responses.at(*largest).bytes)},
-         {"all_bytes", std::to_string(response_memory_.total)},
-         {"limit", std::to_string(response_memory_.limit)}});
-    release_response(response_memory_, *largest, false);
+          std::to_string(memory_.responses.responses.at(*largest).bytes)},
+         {"all_bytes", std::to_string(memory_.responses.total)},
+         {"limit", std::to_string(memory_.responses.limit)}});
+    release_response(memory_.responses, *largest, false);
     // The read that fails ends the attempt as broken.
     for (auto attempt = attempts_.lower_bound({*largest, 0});
          attempt != attempts_.end() && attempt->first.first == *largest;
@@ -618,7 +753,8 @@
   const auto attempt = attempts_.find({effect.request, effect.attempt});
   if (exchange == nullptr || attempt == attempts_.end()) return;
   metrics_.observe_first_byte(effect.first_byte);
-  complete_response(response_memory_, effect.request);
+  complete_response(memory_.responses, effect.request, monotonic_now());
+  exchange->release_body();
   exchange->set_response(std::move(attempt->second->response));
 }
 
@@ -631,8 +767,10 @@
 }
 
 void RouterNode::perform(const FinishStream& effect) {
-  if (const auto exchange = find_exchange(effect.request))
-    exchange->finish_stream();
+  const auto exchange = find_exchange(effect.request);
+  if (exchange == nullptr) return;
+  exchange->release_body();
+  exchange->finish_stream();
 }
 
 void RouterNode::perform(const SendLocalResponse& effect) {
@@ -643,6 +781,7 @@
   response.headers = wire_format_.local_response_headers(exchange->request(),
                                                          effect.retry_after);
   response.body = effect.reason + "\n";
+  exchange->release_body();
   exchange->set_response(std::move(response));
 }
 
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "libperidotreach/routing/response_memory.h"
+#include "libperidotreach/routing/memory_account.h"
 #include "libperidotreach/routing/routing_reducer.h"
 #include "peridot-router/endpoint_attempt.h"
 #include "peridot-router/peer_exchange.h"
@@ -107,11 +107,22 @@
 
   // Interface for caller sessions. `open_exchange` registers a request,
   // `start_exchange` passes it to the reducer and `close_exchange` removes it.
-  std::shared_ptr<RequestExchange> open_exchange(RawRequest request);
+  std::shared_ptr<RequestExchange> open_exchange(const CallerSession& session,
+                                                 RawRequest request);
   void start_exchange(const std::shared_ptr<RequestExchange>& exchange);
   void close_exchange(const RequestExchange& exchange);
   void on_caller_disconnected(const RequestExchange& exchange);
   const CallerLimits& caller_limits() const;
+
+  // Asks for `bytes` of memory in all for the request that a session reads.
+  // Returns whether they are granted.
+  bool hold_request(const CallerSession& session, std::size_t bytes);
+  void release_request(const CallerSession& session);
+  // Returns the refusal of a request for which there is no memory. `is_ended`:
+  // it gave way to others.
+  CallerResponse memory_refusal(const CallerSession& session,
+                                const RawRequest& request, bool is_ended,
+                                Millis retry_after);
   bool stopping() const { return state_.stop.has_value(); }
 
   const RoutingState& state() const { return state_; }
@@ -142,6 +153,13 @@
   // Records the bytes held of a response and ends responses that exceed the
   // memory for all of them.
   void hold_response_bytes(std::uint64_t request, std::size_t bytes);
+  void update_memory_shares();
+  // Closes the connection of a caller that does not take its response.
+  void give_up_caller(std::uint64_t request);
+  std::shared_ptr<CallerSession> find_session(std::uint64_t number) const;
+  // Closes connections that have waited longest for a header until another
+  // socket is within the limits. Returns whether it is.
+  bool make_room_for_socket();
   // `source` is "store" or the VM of the peer that sent the change.
   void apply_changes(const std::string& table,
                      const std::vector<ItemChange>& changes,
@@ -192,12 +210,13 @@
   RouterMetrics metrics_;
   std::map<std::uint64_t, std::shared_ptr<RequestExchange>> exchanges_;
   std::map<AttemptKey, std::shared_ptr<EndpointAttempt>> attempts_;
-  ResponseMemory response_memory_;
+  MemoryAccount memory_;
   std::vector<std::weak_ptr<CallerSession>> sessions_;
   std::shared_ptr<tcp::acceptor> acceptor_;
   std::vector<decltype(RoutingEvent::body)> pending_events_;
   bool reducing_ = false;
   std::uint64_t next_request_ = 1;
+  std::uint64_t next_session_ = 1;
   CallerLimits default_limits_;
   Millis endpoints_polled_at_ = 0;
   std::function<void()> on_stopped_;
--- a/src/peridot-router/router_settings.h
+++ b/src/peridot-router/router_settings.h
@@ -30,6 +30,8 @@
   std::uint32_t processor_share = 0;
   // Bytes of memory that the process may use; 0 if unknown.
   std::size_t memory_limit = 0;
+  // Sockets and pipes that the process may open; 0 if unknown.
+  std::size_t socket_limit = 0;
   // Time from the stop signal until the platform kills the process.
   Millis stop_grace = 8 * kSecond;
   // Time for which callers may cache a response to an address look-up.
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "runtime/clock.h"
+#include "runtime/http_framing.h"
 #include "runtime/log.h"
 #include "runtime/socket_state.h"
 
@@ -21,10 +22,6 @@
 // HTTP/1.1 as Boost.Beast encodes it.
 constexpr unsigned kHttpVersion = 11;
 
-// Bytes read ahead of the parser. It bounds what a server may send where no
-// body is due, such as a chunk header without end.
-constexpr std::size_t kMaxReadAheadBytes = 32U << 10U;
-
 // TCP keep-alive probes: an idle connection to an unreachable peer fails after
 // about four seconds.
 constexpr int kKeepAliveIdleSeconds = 2;
@@ -77,7 +74,7 @@
 }
 
 awaitable<bool> HttpConnection::send(ClientRequest request, Millis timeout) {
-  http::request<http::string_body> message;
+  http::request<http::span_body<const char>> message;
   message.method_string(request.method);
   message.target(request.target);
   message.version(kHttpVersion);
@@ -88,7 +85,9 @@
   for (const HttpHeader& header : request.headers) {
     message.insert(header.name, header.value);
   }
-  message.body() = std::move(request.body);
+  const std::string_view body =
+      request.body.empty() ? request.borrowed_body : request.body;
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   parser_.emplace();
   response_complete_ = false;
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libperidotreach/error.h"
@@ -43,6 +44,8 @@
   std::vector<HttpHeader> headers;
   std::string content_type = "application/json";
   std::string body;
+  // Sent if `body` is empty. Its owner keeps it until the request was sent.
+  std::string_view borrowed_body;
 };
 
 // A client connection, on which requests are sent one after another.
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "runtime/arriving_body.h"
+#include "runtime/http_framing.h"
 #include "runtime/log.h"
 #include "runtime/transfer_coding.h"
 
@@ -32,7 +34,7 @@
   return lower;
 }
 
-HttpRequest convert_request(http::request<http::string_body>& message) {
+HttpRequest convert_request(http::request<ArrivingBody>& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   split_target(std::string(message.target()), request);
@@ -60,9 +62,9 @@
                                  HttpHandler handler) {
   socket.set_option(tcp::no_delay(true));
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(limits.header_bytes + kMaxReadAheadBytes);
   while (true) {
-    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<http::request_parser<ArrivingBody>> parser;
     parser.emplace();
     parser->body_limit(limits.body_bytes);
     parser->header_limit(limits.header_bytes);
--- a/tests/routing/response_memory_test.cc
+++ b/tests/routing/response_memory_test.cc
@@ -45,6 +45,18 @@
   CHECK_FALSE(response_to_end(memory));
 }
 
+TEST_CASE("a caller that does not take its response gives way to others",
+          "[memory]") {
+  ResponseMemory memory = memory_of(1000);
+  hold_response(memory, 1, 900);
+  complete_response(memory, 1, 0);
+  CHECK_FALSE(untaken_response(memory, kSlowCallerPatience));
+  hold_response(memory, 2, 200);
+  CHECK_FALSE(untaken_response(memory, kSlowCallerPatience - 1));
+  CHECK(untaken_response(memory, kSlowCallerPatience) ==
+        std::optional<std::uint64_t>(1));
+}
+
 TEST_CASE("the limit follows the memory of the process", "[memory]") {
   CHECK(response_limit(std::size_t{110} << 20U) < std::size_t{14} << 20U);
   CHECK(response_limit(0) > 0);
