A request that waits gives way to an earlier one only after a second

Cause: early_answer_test got a 503 once: a string that grows takes twice its capacity, and the youngest request that waited was ended at once. Change: bodies grow to the length that was granted; an earlier request has to wait for a second first.

--- a/src/libperidotreach/routing/memory_account.cc
+++ b/src/libperidotreach/routing/memory_account.cc
@@ -46,8 +46,8 @@
 
 // Returns the holder that gives way to `asker`, none if nobody does. Those who
 // hold much for long without progress go first. Then large requests give way to
-// a small one, and those that wait to the one that arrived first, so that one
-// of them gets through.
+// a small one, and those that wait to the one that arrived first once it has
+// waited, so that one of them gets through.
 std::optional<std::uint64_t> holder_to_end(const MemoryAccount& account,
                                            std::uint64_t asker,
                                            std::size_t asked, Millis now) {
@@ -55,7 +55,8 @@
   std::optional<std::uint64_t> chosen;
   Rank chosen_rank;
   const bool asker_is_small = !is_large(asked);
-  bool asker_is_first = true;
+  bool asker_is_first =
+      now - account.requests.at(asker).waiting_since >= kStalledAfter;
   for (const auto& [number, held] : account.requests) {
     if (number >= asker) break;
     if (held.is_reading && !held.is_ending && is_large(held.bytes))
@@ -114,6 +115,7 @@
     answer.is_granted = true;
     return answer;
   }
+  if (!held.is_waiting) held.waiting_since = now;
   held.is_waiting = true;
   while (excess(account, holder, bytes, false) > 0) {
     const auto chosen = holder_to_end(account, holder, bytes, now);
--- a/src/libperidotreach/routing/memory_account.h
+++ b/src/libperidotreach/routing/memory_account.h
@@ -23,7 +23,8 @@
 inline constexpr std::size_t kConnectionBytes = 8U << 10U;
 
 // A request that is being read and gets no bytes for this long gives way when
-// memory runs out. It covers the retransmission of a lost packet.
+// memory runs out, and one that waits gives way to an earlier one that has
+// waited for this long. It covers the retransmission of a lost packet.
 inline constexpr Millis kStalledAfter = kSecond;
 
 // Shares of a process's memory, in bytes.
@@ -61,6 +62,8 @@
   bool is_ending = false;
   // Time at which it was last given memory or asked for some.
   Millis progressed_at = 0;
+  // Time at which it began to wait.
+  Millis waiting_since = 0;
 
   bool operator==(const HeldRequest&) const = default;
 };
--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -199,7 +199,13 @@
         asio::socket_base::receive_buffer_size(kLargeRequestReceiveBytes),
         ignored);
   }
-  body.reserve(body_bytes);
+  if (body_bytes > body.capacity()) {
+    // A string that holds something grows to twice its capacity at least.
+    std::string grown;
+    grown.reserve(body_bytes);
+    grown.append(body);
+    body.swap(grown);
+  }
   co_return true;
 }
 
