--- a/tests/system/router_bench.py
+++ b/tests/system/router_bench.py
@@ -125,10 +125,10 @@
         writer.close()
         return answer is not None and answer.status == 200
 
-    async def connect(self):
-        """Opens a caller's connection."""
+    async def connect(self, port="front"):
+        """Opens a caller's connection, to the port of this name."""
         return await asyncio.open_connection(self.router.host,
-                                             self.router.ports["front"])
+                                             self.router.ports[port])
 
     def memory_mb(self):
         """Returns the resident memory of the router."""
--- a/tests/system/unknown_clients.py
+++ b/tests/system/unknown_clients.py
@@ -109,11 +109,12 @@
     def unread_bytes(self):
         """Returns what has arrived at the router's callers' port unread."""
         host = socket.inet_aton(self.bench.router.host)[::-1].hex().upper()
-        local = f"{host}:{self.bench.router.ports['front']:04X}"
+        local = [f"{host}:{self.bench.router.ports[name]:04X}"
+                 for name in ("front", "directory")]
         with open("/proc/net/tcp", encoding="ascii") as table:
             rows = [line.split() for line in table]
         return sum(int(row[4].split(":")[1], 16) for row in rows
-                   if row[1] == local and row[3] != "0A")
+                   if row[1] in local and row[3] != "0A")
 
     async def watch(self):
         """Follows the router until it is cancelled."""
@@ -132,7 +133,7 @@
             await asyncio.sleep(0.05)
 
 
-async def send_crowd(bench, row):
+async def send_crowd(bench, row, port):
     """Opens the crowd. Returns its connections."""
     first, block, count, last = blocks_of(row)
 
@@ -147,7 +148,7 @@
         except OSError:
             pass
 
-    callers = [await bench.connect() for _ in range(CROWD)]
+    callers = [await bench.connect(port) for _ in range(CROWD)]
     tasks = [asyncio.ensure_future(send(writer)) for _, writer in callers]
     await asyncio.wait(tasks, timeout=CROWD_S)
     # The last bytes are on their way.
@@ -184,12 +185,12 @@
     return callers
 
 
-async def open_idle(bench):
+async def open_idle(bench, port):
     """Opens connections of which half never send, half only begin a request."""
     callers = []
     for number in range(IDLE_CLIENTS):
         try:
-            _, writer = await bench.connect()
+            _, writer = await bench.connect(port)
         except OSError:
             continue
         if number % 2:
@@ -228,8 +229,10 @@
     return faults
 
 
-async def run(folder, row):
+async def run(folder, name):
     """Plays one row. Returns what went wrong."""
+    row = name.removeprefix("directory_")
+    port = "directory" if row != name else "front"
     is_stream = row == "stream_readers"
     max_fds = SMALL_MAX_FDS if row == "idle" else 4100
     bench = Bench(NET, folder, "stream" if is_stream else "non_idempotent",
@@ -247,9 +250,9 @@
     elif is_stream:
         callers = await open_streams(bench)
     elif row == "idle":
-        callers = await open_idle(bench)
+        callers = await open_idle(bench, port)
     else:
-        callers = await send_crowd(bench, row)
+        callers = await send_crowd(bench, row, port)
     path = "/entry/stream" if is_stream else "/entry/ordinary"
     if bench.router.process.returncode is not None:
         faults.append("the router ended")
@@ -264,7 +267,7 @@
         faults.append(f"{usage.memory_mb:.0f} MB of {MEMORY_MB}")
     if usage.sockets > max_fds - FILE_FDS:
         faults.append(f"{usage.sockets} sockets of {max_fds - FILE_FDS}")
-    print(f"{row}: {usage.memory_mb:.0f} MB, {usage.sockets} sockets")
+    print(f"{name}: {usage.memory_mb:.0f} MB, {usage.sockets} sockets")
     for writer in callers:
         writer.transport.abort()
     await bench.stop()
