The listener for address look-ups bounds its connections

Change: beyond a sixteenth of the sockets the connection that was opened first is closed; a failed accept is tried again after a pause.

--- a/src/libperidotreach/routing/memory_account.cc
+++ b/src/libperidotreach/routing/memory_account.cc
@@ -16,6 +16,9 @@
 constexpr std::size_t kSmallRequestsDivisor = 8;
 constexpr std::size_t kConnectionsDivisor = 4;
 
+// Sockets of a process whose limit is unknown.
+constexpr std::size_t kDefaultSockets = 4096;
+
 // Part of the sockets that callers leave to peers, the store and listeners.
 constexpr std::size_t kOtherSocketsDivisor = 4;
 
@@ -101,6 +104,11 @@
   return sockets - sockets / kOtherSocketsDivisor;
 }
 
+std::size_t query_socket_limit(std::size_t sockets) {
+  return (sockets == 0 ? kDefaultSockets : sockets) / kOtherSocketsDivisor /
+         kOtherSocketsDivisor;
+}
+
 MemoryAnswer hold_request(MemoryAccount& account, std::uint64_t holder,
                           std::size_t bytes, Millis now) {
   HeldRequest& held = account.requests[holder];
--- a/src/libperidotreach/routing/memory_account.h
+++ b/src/libperidotreach/routing/memory_account.h
@@ -51,6 +51,10 @@
 // limit.
 std::size_t caller_socket_limit(std::size_t sockets);
 
+// Returns how many of `sockets` the connections of each of the other listeners
+// may take, such as those for address look-ups.
+std::size_t query_socket_limit(std::size_t sockets);
+
 // What the process holds of one request.
 struct HeldRequest {
   std::size_t bytes = 0;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -47,9 +47,14 @@
 // request changes the digest.
 constexpr std::uint32_t kReportedRequestsStep = 8;
 
-// Limits of requests for addresses, readiness and metrics, which have no body.
-constexpr HttpLimits kQueryLimits = {kMaxQueryBodyBytes,
-                                     HttpLimits().header_bytes};
+// Returns the limits of requests for addresses, readiness and metrics, which
+// have no body.
+HttpLimits query_limits(const RouterSettings& settings) {
+  HttpLimits limits;
+  limits.body_bytes = kMaxQueryBodyBytes;
+  limits.connections = query_socket_limit(settings.socket_limit);
+  return limits;
+}
 
 PeerRecord record_of(const RouterSettings& settings,
                      std::uint64_t incarnation) {
@@ -127,12 +132,12 @@
   co_spawn(io_, accept_callers(), asio::detached);
   auto directory = start_http_server(
       io_, settings_.directory_listen.address, settings_.directory_listen.port,
-      kQueryLimits,
+      query_limits(settings_),
       [this](HttpExchange& exchange) { return serve_addresses(exchange); });
   if (!ok(directory)) return directory;
   auto readiness = start_http_server(
       io_, settings_.readiness_listen.address, settings_.readiness_listen.port,
-      kQueryLimits, [this](HttpExchange& exchange) {
+      query_limits(settings_), [this](HttpExchange& exchange) {
         return serve_readiness_and_metrics(exchange);
       });
   if (!ok(readiness)) return readiness;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -5,10 +5,13 @@
 #include <boost/json/serialize.hpp>
 #include <chrono>
 #include <exception>
+#include <list>
+#include <memory>
 #include <optional>
 #include <utility>
 
 #include "runtime/arriving_body.h"
+#include "runtime/clock.h"
 #include "runtime/http_framing.h"
 #include "runtime/log.h"
 #include "runtime/transfer_coding.h"
@@ -22,6 +25,9 @@
 // Time limit for receiving a request and for writing a response or chunk.
 constexpr auto kPeerTimeout = std::chrono::seconds(60);
 
+// Time until accepting is tried again after it failed.
+constexpr Millis kAcceptRetryInterval = 40;
+
 // HTTP/1.1 as Boost.Beast encodes it.
 constexpr unsigned kHttpVersion = 11;
 
@@ -58,10 +64,22 @@
   co_await exchange.respond(std::move(response));
 }
 
+// The open connections of a server, the first one in front.
+using OpenConnections = std::list<beast::tcp_stream*>;
+
 awaitable<void> serve_connection(tcp::socket socket, HttpLimits limits,
-                                 HttpHandler handler) {
+                                 HttpHandler handler,
+                                 std::shared_ptr<OpenConnections> open) {
   socket.set_option(tcp::no_delay(true));
   beast::tcp_stream stream(std::move(socket));
+  if (limits.connections > 0 && open->size() >= limits.connections) {
+    open->front()->close();
+    open->pop_front();
+  }
+  open->push_back(&stream);
+  // Also runs if the handler throws.
+  const std::shared_ptr<void> at_end(
+      nullptr, [&](void*) { std::erase(*open, &stream); });
   beast::flat_buffer buffer(limits.header_bytes + kMaxReadAheadBytes);
   while (true) {
     std::optional<http::request_parser<ArrivingBody>> parser;
@@ -92,12 +110,17 @@
 
 awaitable<void> accept_connections(tcp::acceptor acceptor, HttpLimits limits,
                                    HttpHandler handler) {
+  const auto open = std::make_shared<OpenConnections>();
   while (true) {
     error_code ec;
     tcp::socket socket = co_await acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, ec));
     if (ec == asio::error::operation_aborted) co_return;
-    if (ec) continue;
+    if (ec) {
+      // The process is out of file descriptors; some become free.
+      co_await sleep_for(kAcceptRetryInterval);
+      continue;
+    }
     const auto on_end = [](const std::exception_ptr& exception) {
       if (!exception) return;
       try {
@@ -108,7 +131,8 @@
       }
     };
     co_spawn(acceptor.get_executor(),
-             serve_connection(std::move(socket), limits, handler), on_end);
+             serve_connection(std::move(socket), limits, handler, open),
+             on_end);
   }
 }
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -74,10 +74,13 @@
 // Handles one request.
 using HttpHandler = std::function<awaitable<void>(HttpExchange&)>;
 
-// Limits on the size of a request.
+// Limits on the size of requests and on connections.
 struct HttpLimits {
   std::size_t body_bytes = 4u << 20u;
   std::uint32_t header_bytes = 16u << 10u;
+  // Connections at the same time; 0 stands for no limit. Beyond it, the one
+  // that was opened first is closed.
+  std::size_t connections = 0;
 };
 
 // Starts serving on `address`:`port`; port 0 picks a free one. Returns the port
--- a/tests/routing/memory_account_test.cc
+++ b/tests/routing/memory_account_test.cc
@@ -138,6 +138,7 @@
   CHECK(memory_shares(0, kLargest).small_requests > 0);
   CHECK(caller_socket_limit(200) == 150);
   CHECK(caller_socket_limit(0) == 0);
+  CHECK(caller_socket_limit(200) + 2 * query_socket_limit(200) < 200);
 }
 
 }  // namespace
