--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -35,7 +35,7 @@
 
 // Receive buffer of a connection with a large request, in bytes: what arrives
 // while the router does not read counts toward the memory of the process.
-constexpr int kLargeRequestReceiveBytes = 64 << 10;
+constexpr std::size_t kLargeRequestReceiveBytes = 64U << 10U;
 
 // Memory of a large request beside its body and the parser's buffer, in bytes.
 constexpr std::size_t kUnreadBytes = 2 * kLargeRequestReceiveBytes;
@@ -196,7 +196,8 @@
   if (held > kSmallRequestBytes && body.capacity() <= kSmallRequestBytes) {
     error_code ignored;
     stream_.socket().set_option(
-        asio::socket_base::receive_buffer_size(kLargeRequestReceiveBytes),
+        asio::socket_base::receive_buffer_size(
+            static_cast<int>(kLargeRequestReceiveBytes)),
         ignored);
   }
   if (body_bytes > body.capacity()) {
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -597,7 +597,7 @@
 std::shared_ptr<CallerSession> RouterNode::find_session(
     std::uint64_t number) const {
   for (const auto& weak : sessions_) {
-    const auto session = weak.lock();
+    auto session = weak.lock();
     if (session != nullptr && session->number() == number) return session;
   }
   return nullptr;
