--- a/tests/system/unknown_clients.py
+++ b/tests/system/unknown_clients.py
@@ -67,6 +67,11 @@
     }[row]
 
 
+# What half of the idle clients send.
+BEGUN = {"idle": head(CHUNKED)[:40],
+         "begun_bodies": head(b"Content-Length: 1000") + b"x"}
+
+
 async def serve(reader, writer):
     """An endpoint that answers by the last part of the path."""
     raw = await reader.readuntil(b"\r\n\r\n")
@@ -185,8 +190,8 @@
     return callers
 
 
-async def open_idle(bench, port):
-    """Opens connections of which half never send, half only begin a request."""
+async def open_idle(bench, port, begun):
+    """Opens connections of which half never send, half only send `begun`."""
     callers = []
     for number in range(IDLE_CLIENTS):
         try:
@@ -194,7 +199,7 @@
         except OSError:
             continue
         if number % 2:
-            writer.write(head(CHUNKED)[:40])
+            writer.write(begun)
         callers.append(writer)
         await asyncio.sleep(0)
     await asyncio.sleep(1)
@@ -234,7 +239,7 @@
     row = name.removeprefix("directory_")
     port = "directory" if row != name else "front"
     is_stream = row == "stream_readers"
-    max_fds = SMALL_MAX_FDS if row == "idle" else 4100
+    max_fds = SMALL_MAX_FDS if row in BEGUN else 4100
     bench = Bench(NET, folder, "stream" if is_stream else "non_idempotent",
                   serve, receive_bytes=16384,
                   vm={"memory_mb": MEMORY_MB, "max_fds": max_fds},
@@ -249,8 +254,8 @@
         faults = await check_calm(bench)
     elif is_stream:
         callers = await open_streams(bench)
-    elif row == "idle":
-        callers = await open_idle(bench, port)
+    elif row in BEGUN:
+        callers = await open_idle(bench, port, BEGUN[row])
     else:
         callers = await send_crowd(bench, row, port)
     path = "/entry/stream" if is_stream else "/entry/ordinary"
