--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -87,7 +87,7 @@
     : stream_(std::move(socket)),
       number_(number),
       node_(node),
-      header_awaited_since_(monotonic_now()) {}
+      awaited_since_(monotonic_now()) {}
 
 std::string CallerSession::caller_address() const {
   error_code failed;
@@ -162,6 +162,7 @@
         buffer_.prepare(bytes),
         asio::redirect_error(asio::use_awaitable, failed));
     buffer_.commit(bytes_read);
+    awaited_since_ = monotonic_now();
     if (reading_ended_) co_return asio::error::no_memory;
     if (failed == asio::error::eof) co_return http::error::end_of_stream;
     if (failed) co_return failed;
@@ -222,7 +223,6 @@
     co_return false;
   }
   if (!failed) {
-    header_awaited_since_.reset();
     // Trailers, which the parser adds to the header, are not forwarded.
     request = to_raw_request(parser.get());
   }
@@ -289,6 +289,7 @@
     auto parser = std::make_unique<Parser>();
     RawRequest request;
     if (!co_await read_request(*parser, request)) break;
+    awaited_since_.reset();
     const bool keep_alive = parser->get().keep_alive();
     const auto exchange = node_.open_exchange(*this, std::move(request));
     parser.reset();
@@ -297,7 +298,7 @@
     node_.close_exchange(*exchange);
     node_.release_request(*this);
     if (!open || caller_disconnected_) break;
-    header_awaited_since_ = monotonic_now();
+    awaited_since_ = monotonic_now();
   }
   node_.release_request(*this);
   error_code ignored;
--- a/src/peridot-router/caller_session.h
+++ b/src/peridot-router/caller_session.h
@@ -50,11 +50,10 @@
   // Refuses the request that is being read, as others need its memory.
   void end_reading();
 
-  // Returns the time since which no whole header has arrived; none while a
-  // request's body is being read or a request is served.
-  std::optional<Millis> header_awaited_since() const {
-    return header_awaited_since_;
-  }
+  // Returns the time at which the caller last sent something of a request that
+  // has not arrived whole, or was last answered; none while a request is
+  // served.
+  std::optional<Millis> awaited_since() const { return awaited_since_; }
 
   // Returns whether a part of a request has arrived that is not answered yet.
   bool has_open_request();
@@ -94,7 +93,7 @@
   boost::beast::flat_buffer buffer_;
   std::uint64_t number_;
   RouterNode& node_;
-  std::optional<Millis> header_awaited_since_;
+  std::optional<Millis> awaited_since_;
   // Others were given the memory of the request that is being read.
   bool reading_ended_ = false;
   bool idle_ = false;
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -341,6 +341,12 @@
   if (exchange.request().path == "/metrics") {
     metrics_.set_gauge("requests_in_flight",
                        static_cast<double>(exchanges_.size()));
+    metrics_.set_gauge("caller_connections",
+                       static_cast<double>(sessions_.size()));
+    metrics_.set_gauge("request_bytes",
+                       static_cast<double>(memory_.request_bytes));
+    metrics_.set_gauge("response_bytes",
+                       static_cast<double>(memory_.responses.total));
     metrics_.set_gauge("endpoints",
                        static_cast<double>(state_.endpoints.size()));
     metrics_.set_gauge("peers",
@@ -623,10 +629,10 @@
   std::size_t remaining = open.size();
   if (!is_full(remaining)) return true;
   std::erase_if(open, [](const auto& session) {
-    return !session->header_awaited_since().has_value();
+    return !session->awaited_since().has_value();
   });
   std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) {
-    return a->header_awaited_since() < b->header_awaited_since();
+    return a->awaited_since() < b->awaited_since();
   });
   for (const auto& session : open) {
     if (!is_full(remaining)) break;
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -157,8 +157,8 @@
   // Closes the connection of a caller that does not take its response.
   void give_up_caller(std::uint64_t request);
   std::shared_ptr<CallerSession> find_session(std::uint64_t number) const;
-  // Closes connections that have waited longest for a header until another
-  // socket is within the limits. Returns whether it is.
+  // Closes connections of callers that have sent nothing for longest until
+  // another socket is within the limits. Returns whether it is.
   bool make_room_for_socket();
   // `source` is "store" or the VM of the peer that sent the change.
   void apply_changes(const std::string& table,
