--- a/src/libperidotreach/routing/copy_leases.h
+++ b/src/libperidotreach/routing/copy_leases.h
@@ -6,6 +6,7 @@
 // They are advisory: correctness does not depend on a single holder.
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,16 +16,6 @@
 
 namespace peridotreach {
 
-struct PlacementRequirements;
-
-// What moving a generation is worth for the time that its copy takes; the
-// highest is copied first. Compared within one endpoint only.
-using CopyPriority = double;
-
-// Returns the priority of copying a generation, by its memory, its prompt
-// (`prefill_tokens`) and whether it has missed an objective already.
-CopyPriority copy_priority(const PlacementRequirements& requirements);
-
 // A generation that requests a lease: the process that routes it and its
 // request number there.
 struct CopyRequester {
@@ -34,19 +25,11 @@
   bool operator==(const CopyRequester&) const = default;
 };
 
-// A generation that waits for a lease.
-struct WaitingCopy {
-  CopyRequester requester;
-  CopyPriority priority = 0;
-
-  bool operator==(const WaitingCopy&) const = default;
-};
-
-// The lease of one endpoint and those that wait for it, in order of arrival.
+// The lease of one endpoint and the queue for it.
 struct EndpointCopyLease {
   std::optional<CopyRequester> holder;
   Millis held_since = 0;
-  std::vector<WaitingCopy> waiting;
+  std::deque<CopyRequester> waiting;
 
   bool operator==(const EndpointCopyLease&) const = default;
 };
@@ -67,9 +50,9 @@
 };
 
 // Requests the lease or queues for it. Returns whether `requester` holds it
-// now; the holder may ask again, and one that waits may change its priority.
+// now; the holder may ask again.
 bool request_copy_lease(CopyLeaseTable& table, const std::string& endpoint,
-                        const WaitingCopy& copy, Millis now);
+                        const CopyRequester& requester, Millis now);
 
 // Releases the lease or leaves the queue. Returns the next holder, if any.
 std::optional<GrantedCopyLease> release_copy_lease(
--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -84,15 +84,14 @@
          !ends_in_time(state, request);
 }
 
-// Returns whether a generation has missed an objective, so that its caller
-// values it less.
-bool has_missed_objective(const RequestState& request) {
-  const Route& route = request.route;
-  const bool started_late =
-      route.first_byte_slo > 0 &&
-      request.first_event_at - request.arrived_at > route.first_byte_slo;
-  return started_late || (route.event_gap_slo > 0 &&
-                          request.longest_event_gap > route.event_gap_slo);
+void request_lease(const RoutingContext& context, std::uint64_t request_number,
+                   RequestState& request) {
+  GenerationMove& move = request.move;
+  if (move.phase == MovePhase::kNone)
+    move.last_lease_reply_at = context.state.now;
+  move.phase = MovePhase::kAwaitingLease;
+  move.lease_requested_at = context.state.now;
+  context.effects.push_back(RequestCopyLease{request_number, request.endpoint});
 }
 
 // Lets another generation copy first and retries after a delay.
@@ -119,22 +118,6 @@
   return requirements;
 }
 
-void request_lease(const RoutingContext& context, std::uint64_t request_number,
-                   RequestState& request) {
-  GenerationMove& move = request.move;
-  if (move.phase == MovePhase::kNone)
-    move.last_lease_reply_at = context.state.now;
-  move.phase = MovePhase::kAwaitingLease;
-  move.lease_requested_at = context.state.now;
-  PlacementRequirements requirements =
-      move_requirements(context.state, request);
-  requirements.prefill_tokens = request.caller_request.prompt_tokens;
-  requirements.is_late = has_missed_objective(request);
-  requirements.excluded_endpoints.clear();
-  context.effects.push_back(RequestCopyLease{request_number, request.endpoint,
-                                             std::move(requirements)});
-}
-
 // Requests a target among the endpoints that have not reported a lack of
 // capacity.
 void request_target(const RoutingContext& context, std::uint64_t request_number,
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -105,9 +105,6 @@
 struct RequestCopyLease {
   std::uint64_t request = 0;
   std::string endpoint;
-  // What the coordinator orders the copies by: the memory, the prompt, and
-  // whether an objective has been missed.
-  PlacementRequirements requirements;
 };
 
 // Releases the lease or leaves the queue for it.
--- a/src/peridot-router/coordination.cc
+++ b/src/peridot-router/coordination.cc
@@ -80,18 +80,11 @@
 
 void Coordination::request_copy_lease(const RequestCopyLease& effect,
                                       Millis now) {
-  const WaitingCopy copy{{link_.self().vm, effect.request},
-                         copy_priority(effect.requirements)};
-  const std::string coordinator = lease_coordinator(effect.endpoint, now);
-  if (coordinator == link_.self().vm) {
-    handle_lease_request(effect.endpoint, copy, now);
-    return;
-  }
-  proto::Envelope message = link_.make_envelope();
-  encode_placement(effect.request, effect.requirements,
-                   *message.mutable_room());
-  message.mutable_room()->set_endpoint(effect.endpoint);
-  link_.send_to(coordinator, message, now);
+  proto::TurnMessage lease;
+  lease.set_kind(proto::TurnMessage::ASK);
+  lease.set_endpoint(effect.endpoint);
+  lease.set_request(effect.request);
+  send_to_lease_coordinator(lease, now);
 }
 
 void Coordination::release_copy_lease(const ReleaseCopyLease& effect,
@@ -127,25 +120,6 @@
   send_lease_message(granted.holder.peer, lease, now);
 }
 
-// Handles a request for a lease that this process coordinates.
-void Coordination::handle_lease_request(const std::string& endpoint,
-                                        const WaitingCopy& copy, Millis now) {
-  const CopyRequester& requester = copy.requester;
-  if (peridotreach::request_copy_lease(copy_leases_, endpoint, copy, now)) {
-    notify_lease_granted({endpoint, requester}, now);
-    return;
-  }
-  if (requester.peer == link_.self().vm) {
-    handlers_.on_copy_lease_queued(CopyLeaseQueued{requester.request});
-    return;
-  }
-  proto::TurnMessage queued;
-  queued.set_kind(proto::TurnMessage::QUEUED);
-  queued.set_endpoint(endpoint);
-  queued.set_request(requester.request);
-  send_lease_message(requester.peer, queued, now);
-}
-
 // Handles a message on copy leases: a request to this process as coordinator,
 // or the reply to one of its own requests.
 void Coordination::handle_lease_message(const std::string& vm,
@@ -153,9 +127,21 @@
                                         Millis now) {
   const CopyRequester requester{vm, lease.request()};
   switch (lease.kind()) {
-    case proto::TurnMessage::ASK:
-      handle_lease_request(lease.endpoint(), {requester, 0}, now);
+    case proto::TurnMessage::ASK: {
+      if (peridotreach::request_copy_lease(copy_leases_, lease.endpoint(),
+                                           requester, now)) {
+        notify_lease_granted({lease.endpoint(), requester}, now);
+        return;
+      }
+      if (vm == link_.self().vm) {
+        handlers_.on_copy_lease_queued(CopyLeaseQueued{lease.request()});
+        return;
+      }
+      proto::TurnMessage queued = lease;
+      queued.set_kind(proto::TurnMessage::QUEUED);
+      send_lease_message(vm, queued, now);
       return;
+    }
     case proto::TurnMessage::END: {
       const auto next = peridotreach::release_copy_lease(
           copy_leases_, lease.endpoint(), requester, now);
@@ -228,13 +214,6 @@
                                             const proto::RoomMessage& placement,
                                             Millis now) {
   const std::string& asker = placement.on_behalf_of();
-  if (!placement.is_answer() && !placement.endpoint().empty()) {
-    handle_lease_request(
-        placement.endpoint(),
-        {{vm, placement.request()}, copy_priority(decode_placement(placement))},
-        now);
-    return;
-  }
   if (!placement.is_answer()) {
     const bool is_forwarded = !asker.empty();
     handlers_.on_placement_requested(PlacementRequested{
--- a/src/peridot-router/coordination.h
+++ b/src/peridot-router/coordination.h
@@ -62,8 +62,6 @@
   // `endpoint`.
   std::string lease_coordinator(const std::string& endpoint, Millis now) const;
 
-  void handle_lease_request(const std::string& endpoint,
-                            const WaitingCopy& copy, Millis now);
   void handle_lease_message(const std::string& vm,
                             const proto::TurnMessage& lease, Millis now);
   void handle_placement_message(const std::string& vm,
