--- a/tests/routing/endpoint_speed_test.cc
+++ b/tests/routing/endpoint_speed_test.cc
@@ -6,9 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "fleet.pb.h"
 #include "libperidotreach/routing/report_totals.h"
 #include "libperidotreach/routing/service_speeds.h"
 #include "libperidotreach/routing/speed_samples.h"
+#include "peridot-router/endpoint_speed_cell.h"
 #include "tests/routing/flood_simulation.h"
 #include "tests/routing/router_harness.h"
 
@@ -221,6 +223,17 @@
   }
 }
 
+TEST_CASE("speeds survive the encoding of a digest", "[speed]") {
+  const std::vector<ObservedSpeed> speeds = {{"e1", {112, 140}},
+                                             {"e2", {0, 250}}};
+  proto::RoutingDigest sent;
+  encode_speeds(speeds, sent);
+  proto::RoutingDigest received;
+  REQUIRE(received.ParseFromString(sent.SerializeAsString()));
+  CHECK(decode_speeds(received) == speeds);
+  CHECK(decode_speeds(proto::RoutingDigest()).empty());
+}
+
 TEST_CASE("sums of reports keep the least disturbed speed", "[speed]") {
   ReportTotals totals;
   PeerReportReceived first;
