--- a/src/libperidotreach/routing/limited_endpoints.cc
+++ b/src/libperidotreach/routing/limited_endpoints.cc
@@ -18,8 +18,8 @@
 // How long the end of a limit is reported to peers.
 constexpr Millis kEndReportPeriod = 5 * kSecond;
 
-// Time after which an unused bucket is removed. A new one starts empty, so no
-// permits are added by that.
+// Time after which an unused bucket is removed. A new one holds no more permits
+// than it would by then.
 constexpr Millis kBucketRetention = 10 * kSecond;
 
 bool needs_permit(const RoutingState& state, const EndpointState& endpoint) {
