Pace of engines that have just started or recovered

Change: a window of prompts without a first event, one prompt at first. It doubles when they are answered within twice the time of the engine's peers, halves on late answers and failures, and ends once it is as wide as that of its peers. It follows what reports carry already; no message is added. Only services whose configuration names a cold start are affected.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -231,6 +231,10 @@
         pending > 0) {
       continue;
     }
+    if (criteria.follows_pace &&
+        !allows_prompt(endpoint.pace, pending, criteria.prefill_tokens)) {
+      continue;
+    }
     const double cost =
         endpoint_cost(state, endpoint, reserved, criteria, engine,
                       slowness(speeds, endpoint.speed)) +
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -54,6 +54,8 @@
   // that an engine has to prefill with it.
   std::uint64_t prefill_tokens = 0;
   std::uint64_t max_prefill_tokens = kUnlimitedPrefillTokens;
+  // Engines that have just started are left out while their window is full.
+  bool follows_pace = false;
   // Limited endpoints for which no permit is at hand are left out, even if one
   // may be obtained.
   bool needs_permit_now = false;
--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -95,6 +95,7 @@
   criteria.max_prefill_tokens = max_prefill_tokens(state, requirements);
   criteria.excluded_endpoints.insert(requirements.excluded_endpoints.begin(),
                                      requirements.excluded_endpoints.end());
+  criteria.follows_pace = !requirements.is_move;
   if (requirements.is_move) {
     criteria.other_zone_cost = kCrossZoneCopyCost;
     criteria.copy_cost = kConcurrentCopyCost;
--- a/src/libperidotreach/routing/placement_coordinator.cc
+++ b/src/libperidotreach/routing/placement_coordinator.cc
@@ -104,6 +104,9 @@
   RoutingState& state = context.state;
   context.effects.push_back(
       AnswerPlacement{peer, request, endpoint, forwarded_by});
+  EndpointState* granted = find_endpoint(context, endpoint);
+  if (granted != nullptr && !requirements.is_move)
+    record_paced_grant(granted->pace, requirements.prefill_tokens, state.now);
   // This process counts its own requests as soon as it handles the answer.
   const Millis expires_at =
       peer == state.config.vm ? state.now : state.now + kReservationLifetime;
@@ -172,6 +175,7 @@
     return choose_with_permit(context, criteria, awaited_permit);
   criteria.zone = state.config.zone;
   criteria.scope = ZoneScope::kPreferred;
+  if (may_queue_prompts) criteria.follows_pace = false;
   if (is_prioritized(requirements) && !may_queue_prompts)
     criteria.max_prefill_tokens =
         prefill_tokens_within(state, kObjectiveSharePrioritized);
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -179,7 +179,10 @@
   endpoint.was_removed = false;
   endpoint.entry_missing_since = 0;
   endpoint.zone_closed_since = zone_closed_since(state, entry.zone);
+  const bool turns_cold = entry.remaining_warm_up > 0 &&
+                          endpoint.cold_phase.entry_until <= state.now;
   observe_entry(endpoint.cold_phase, entry.remaining_warm_up, state.now);
+  if (has_restarted || turns_cold) pace_started_endpoint(context, endpoint);
   if (entry.remaining_warm_up > 0)
     record_if_cold(context, endpoint, was_cold, "entry");
   if (entry.leaving) mark_leaving(context, endpoint, "notice");
@@ -421,6 +424,7 @@
   drop_missing_endpoints(context);
   open_lost_zones(context);
   expire_permits(context);
+  adjust_paces(context);
   place_queued_requests(context);
   place_waiting_requests(context);
   plan_moves(context);
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -14,6 +14,7 @@
 #include "libperidotreach/routing/closed_zones.h"
 #include "libperidotreach/routing/cold_phase.h"
 #include "libperidotreach/routing/endpoint_limit.h"
+#include "libperidotreach/routing/endpoint_pace.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/placement_queue.h"
 #include "libperidotreach/routing/planned_stop.h"
@@ -53,6 +54,8 @@
   // When its availability zone was closed; 0 if that is open.
   Millis zone_closed_since = 0;
   ColdPhase cold_phase;
+  PaceWindow pace;
+  AnswerRate answer_rate;
   // Decaying share of failures among recent answers, from 0 to 1.
   double failure_rate = 0;
   Millis failure_rate_updated_at = 0;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -150,6 +150,13 @@
 bool wait_for_placement(const RoutingContext& context,
                         std::uint64_t request_number, RequestState& request);
 
+// Engines that have just started or recovered (paced_endpoints.cc).
+// Begins the window of an engine whose service's engines start cold.
+void pace_started_endpoint(const RoutingContext& context,
+                           EndpointState& endpoint);
+// Adjusts the windows of engines by what the fleet reports.
+void adjust_paces(const RoutingContext& context);
+
 // Limits of endpoints (limited_endpoints.cc).
 // An endpoint that was chosen, empty if there is none, and the endpoint for
 // which a permit was requested first, if any.
