--- a/src/libperidotreach/routing/endpoint_pace.cc
+++ b/src/libperidotreach/routing/endpoint_pace.cc
@@ -82,6 +82,7 @@
   if (window.round_began_at == 0) window.round_began_at = now;
   window.granted_tokens += prompt_tokens;
   window.granted_at = now;
+  window.is_used = true;
 }
 
 bool allows_prompt(const PaceWindow& window, std::uint64_t pending_tokens,
--- a/src/libperidotreach/routing/endpoint_pace.h
+++ b/src/libperidotreach/routing/endpoint_pace.h
@@ -50,6 +50,8 @@
   Millis granted_at = 0;
   // Recent transport failures of all processes at the last observation.
   double failures = 0;
+  // This process, as the placement coordinator, has granted prompts.
+  bool is_used = false;
 
   bool operator==(const PaceWindow&) const = default;
 };
--- a/src/libperidotreach/routing/paced_endpoints.cc
+++ b/src/libperidotreach/routing/paced_endpoints.cc
@@ -47,13 +47,14 @@
   return *middle;
 }
 
+// Records a change of a window by which this process has placed requests.
 void record_pace(const RoutingContext& context, const EndpointState& endpoint,
-                 const std::string& change, Millis began_at,
+                 PaceChange change, Millis began_at,
                  const PaceObservation& observed) {
   record_decision(
       context, "pace_changed", 0,
       {{"endpoint", endpoint.entry.id},
-       {"change", change},
+       {"change", pace_change_name(change)},
        {"window_tokens", std::to_string(endpoint.pace.tokens)},
        {"pending_tokens", std::to_string(observed.pending_tokens)},
        {"failures", std::to_string(observed.failures)},
@@ -68,10 +69,7 @@
   const RoutingState& state = context.state;
   if (!may_be_paced(find_service(state, endpoint.entry.service))) return;
   if (is_paced(endpoint.pace)) return;
-  const double failures = all_failures(endpoint, state.now);
-  begin_pace(endpoint.pace, failures, state.now);
-  record_pace(context, endpoint, "begun", state.now,
-              {state.now, 0, 0, failures});
+  begin_pace(endpoint.pace, all_failures(endpoint, state.now), state.now);
 }
 
 void adjust_paces(const RoutingContext& context) {
@@ -103,11 +101,10 @@
     const auto [rate, is_new] = rates.try_emplace(endpoint.entry.service);
     if (is_new) rate->second = peer_rate(state, endpoint.entry.service);
     observed.peer_tokens_per_ms = rate->second;
-    const Millis began_at = endpoint.pace.began_at;
+    const PaceWindow before = endpoint.pace;
     const PaceChange change = adjust_pace(endpoint.pace, observed);
-    if (change == PaceChange::kNone) continue;
-    record_pace(context, endpoint, pace_change_name(change), began_at,
-                observed);
+    if (change == PaceChange::kNone || !before.is_used) continue;
+    record_pace(context, endpoint, change, before.began_at, observed);
   }
 }
 
