Finished streams stay in the account until they are taken

Cause: a finished or aborted stream left the account when its attempt ended, though its caller had not taken the last bytes, and a stream that was ended for memory kept its buffer. Change: the end of a stream counts as a complete response; an abort frees the body, and after an end for memory also what was not sent. The line is response_memory_exhausted again.

--- a/src/libperidotreach/routing/response_memory.h
+++ b/src/libperidotreach/routing/response_memory.h
@@ -47,7 +47,7 @@
 
 // Records that a response has arrived.
 void complete_response(ResponseMemory& memory, std::uint64_t request,
-                       Millis now = 0);
+                       Millis now);
 
 // Forgets a response; one that is being sent to its caller only if `sent`.
 void release_response(ResponseMemory& memory, std::uint64_t request, bool sent);
--- a/src/peridot-router/request_exchange.cc
+++ b/src/peridot-router/request_exchange.cc
@@ -32,6 +32,7 @@
 
 void RequestExchange::abort() {
   aborted_ = true;
+  if (drops_bytes_on_abort_) buffered_bytes_ = std::string();
   notify();
 }
 
--- a/src/peridot-router/request_exchange.h
+++ b/src/peridot-router/request_exchange.h
@@ -76,6 +76,9 @@
   // Closes the caller's connection in the middle of the response.
   void abort();
 
+  // Lets an abort free what the caller has not been sent.
+  void drop_bytes_on_abort() { drops_bytes_on_abort_ = true; }
+
   // Waits until one of the functions above has been called.
   awaitable<void> wait_for_change();
 
@@ -123,6 +126,7 @@
   bool stream_opened_ = false;
   bool finished_ = false;
   bool aborted_ = false;
+  bool drops_bytes_on_abort_ = false;
   bool closed_ = false;
 };
 
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -736,13 +736,15 @@
     give_up_caller(*untaken);
   }
   while (const auto largest = response_to_end(memory_.responses)) {
-    log(LogLevel::kWarning, "memory_.responsesexhausted",
+    log(LogLevel::kWarning, "response_memory_exhausted",
         {{"request", std::to_string(*largest)},
          {"bytes",
           std::to_string(memory_.responses.responses.at(*largest).bytes)},
          {"all_bytes", std::to_string(memory_.responses.total)},
          {"limit", std::to_string(memory_.responses.limit)}});
     release_response(memory_.responses, *largest, false);
+    if (const auto exchange = find_exchange(*largest))
+      exchange->drop_bytes_on_abort();
     // The read that fails ends the attempt as broken.
     for (auto attempt = attempts_.lower_bound({*largest, 0});
          attempt != attempts_.end() && attempt->first.first == *largest;
@@ -780,6 +782,8 @@
 void RouterNode::perform(const FinishStream& effect) {
   const auto exchange = find_exchange(effect.request);
   if (exchange == nullptr) return;
+  // Its last bytes are held until the caller has taken them.
+  complete_response(memory_.responses, effect.request, monotonic_now());
   exchange->release_body();
   exchange->finish_stream();
 }
@@ -797,9 +801,11 @@
 }
 
 void RouterNode::perform(const AbortResponse& effect) {
-  if (const auto exchange = find_exchange(effect.request)) {
-    exchange->abort();
-  }
+  const auto exchange = find_exchange(effect.request);
+  if (exchange == nullptr) return;
+  complete_response(memory_.responses, effect.request, monotonic_now());
+  exchange->release_body();
+  exchange->abort();
 }
 
 void RouterNode::perform(const CopyGeneration& effect) {
--- a/tests/routing/request_exchange_test.cc
+++ b/tests/routing/request_exchange_test.cc
@@ -41,6 +41,18 @@
   CHECK(exchange.buffered_bytes() > kMaxBufferedBytes - kMaxWrittenBytes);
 }
 
+TEST_CASE("an abort for memory frees what the caller has not been sent",
+          "[memory]") {
+  asio::io_context io;
+  for (const bool is_for_memory : {false, true}) {
+    RequestExchange exchange(io, 1, 1, RawRequest());
+    exchange.append_stream(std::string(kMaxWrittenBytes, 'x'));
+    if (is_for_memory) exchange.drop_bytes_on_abort();
+    exchange.abort();
+    CHECK(exchange.has_more_bytes() != is_for_memory);
+  }
+}
+
 TEST_CASE("a body is freed once it is neither needed nor being sent",
           "[memory]") {
   asio::io_context io;
--- a/tests/routing/response_memory_test.cc
+++ b/tests/routing/response_memory_test.cc
@@ -36,7 +36,7 @@
           "[memory]") {
   ResponseMemory memory = memory_of(1000);
   hold_response(memory, 1, 900);
-  complete_response(memory, 1);
+  complete_response(memory, 1, 0);
   release_response(memory, 1, false);
   hold_response(memory, 2, 200);
   CHECK(response_to_end(memory) == std::optional<std::uint64_t>(2));
@@ -45,6 +45,18 @@
   CHECK_FALSE(response_to_end(memory));
 }
 
+TEST_CASE("a finished stream counts until its caller has taken it",
+          "[memory]") {
+  ResponseMemory memory = memory_of(1000);
+  hold_response(memory, 1, 900);
+  complete_response(memory, 1, 0);
+  // The attempt that received it ends.
+  release_response(memory, 1, false);
+  CHECK(memory.total == 900);
+  release_response(memory, 1, true);
+  CHECK(memory == memory_of(1000));
+}
+
 TEST_CASE("a caller that does not take its response gives way to others",
           "[memory]") {
   ResponseMemory memory = memory_of(1000);
