Test of headers without end whose lines end with the reads

Found by the review: the parser bounds what it holds at once, not what it has taken. Rows header_lines and directory_header_lines send lines of 64 bytes of which each read ends with the first byte of one.

--- a/tests/system/unknown_clients.py
+++ b/tests/system/unknown_clients.py
@@ -17,6 +17,8 @@
 NET = "127.0.25"
 MEMORY_MB = 110
 MAX_BODY = 4 << 20
+# Several of the router's reads.
+MAX_HEADER = 16 << 10
 # Descriptors that the platform sets aside for files.
 FILE_FDS = 200
 CROWD = 60
@@ -51,7 +53,14 @@
     endless = ENDLESS_BYTES // BLOCK
     whole_blocks = MAX_BODY // BLOCK
     line = b"X-Trailer: " + b"x" * 51 + b"\r\n"
+    # Reads of a power of two bytes end with the first byte of a line, of which
+    # the parser cannot tell yet whether it belongs to the line before.
+    begun = chunked[:-2]
+    padding = b"X-Padding: %b\r\n" % (b"x" * (-(len(begun) + 14) % len(line)))
     return {
+        "header_lines": (begun + padding + line[:1],
+                         (line[1:] + line[:1]) * (BLOCK // len(line)), endless,
+                         b""),
         "trailers": (chunked + b"1\r\nx\r\n0\r\n", line * (BLOCK // len(line)),
                      endless, b""),
         "trailer_line": (chunked + b"1\r\nx\r\n0\r\nX-Trailer: ", b"x" * BLOCK,
@@ -240,12 +249,13 @@
     port = "directory" if row != name else "front"
     is_stream = row == "stream_readers"
     max_fds = SMALL_MAX_FDS if row in BEGUN else 4100
+    limits = {"max_header_bytes": MAX_HEADER} if row == "header_lines" else {}
     bench = Bench(NET, folder, "stream" if is_stream else "non_idempotent",
                   serve, receive_bytes=16384,
                   vm={"memory_mb": MEMORY_MB, "max_fds": max_fds},
                   timeout_ms=PATIENCE_S * 1000, max_body_bytes=MAX_BODY,
                   idle_timeout_ms=PATIENCE_S * 1000,
-                  header_timeout_ms=PATIENCE_S * 1000)
+                  header_timeout_ms=PATIENCE_S * 1000, **limits)
     await bench.start()
     usage = Usage(bench)
     watch = asyncio.ensure_future(usage.watch())
