The limit on a header holds for its sum, for callers, queries and endpoints

Cause: Boost.Beast's limit holds for the bytes that the parser is given at once; fields whose lines end with the reads piled up until the time limit. Change: put_header sums what the parser takes; read_header serves the client and the server.

--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -13,6 +13,7 @@
 #include "peridot-router/router_node.h"
 #include "runtime/clock.h"
 #include "runtime/http_framing.h"
+#include "runtime/http_header.h"
 #include "runtime/http_server.h"
 #include "runtime/socket_state.h"
 #include "runtime/transfer_coding.h"
@@ -142,11 +143,16 @@
       (reads_header ? node_.caller_limits().max_header_bytes : 0);
   parser.eager(!reads_header);
   Millis deadline = monotonic_now() + timeout;
+  std::size_t header_bytes = 0;
   error_code failed;
   while (reads_header ? !parser.is_header_done() : !parser.is_done()) {
     if (buffer_.size() > 0) {
-      const std::size_t used = parser.put(buffer_.data(), failed);
-      buffer_.consume(used);
+      if (reads_header) {
+        failed = put_header(parser, buffer_, header_bytes,
+                            node_.caller_limits().max_header_bytes);
+      } else {
+        buffer_.consume(parser.put(buffer_.data(), failed));
+      }
       if (failed && failed != http::error::need_more) co_return failed;
       if (!failed) continue;
     }
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -11,6 +11,7 @@
 
 #include "runtime/clock.h"
 #include "runtime/http_framing.h"
+#include "runtime/http_header.h"
 #include "runtime/log.h"
 #include "runtime/socket_state.h"
 
@@ -103,11 +104,9 @@
 
 awaitable<unsigned> HttpConnection::read_head(Millis timeout) {
   stream_.expires_after(to_duration(timeout));
-  error_code ec;
-  co_await http::async_read_header(
-      stream_, buffer_, *parser_,
-      asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) co_return 0;
+  const error_code failed =
+      co_await read_header(stream_, buffer_, *parser_, kMaxReadAheadBytes);
+  if (failed) co_return 0;
   co_return parser_->get().result_int();
 }
 
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -13,6 +13,7 @@
 #include "runtime/arriving_body.h"
 #include "runtime/clock.h"
 #include "runtime/http_framing.h"
+#include "runtime/http_header.h"
 #include "runtime/log.h"
 #include "runtime/transfer_coding.h"
 
@@ -87,9 +88,12 @@
     parser->body_limit(limits.body_bytes);
     parser->header_limit(limits.header_bytes);
     stream.expires_after(kPeerTimeout);
-    error_code ec;
-    co_await http::async_read(stream, buffer, *parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    error_code ec =
+        co_await read_header(stream, buffer, *parser, limits.header_bytes);
+    if (!ec && !parser->is_done()) {
+      co_await http::async_read(stream, buffer, *parser,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (!ec && !has_known_transfer_coding(parser->get()))
       ec = http::error::bad_transfer_encoding;
     if (ec) {
