Account without walks for its excess; who gives way for sockets

Change: the account keeps what those that are ending hold. Connections that never sent a whole request and are quiet for a second go first; those with a request in the socket stay.

--- a/src/libperidotreach/routing/memory_account.cc
+++ b/src/libperidotreach/routing/memory_account.cc
@@ -24,20 +24,22 @@
 
 bool is_large(std::size_t bytes) { return bytes > kSmallRequestBytes; }
 
-// Bytes by which the account would exceed its limits if `holder` had `bytes`.
+std::size_t large_part(std::size_t bytes) {
+  return is_large(bytes) ? bytes : 0;
+}
+
+// Bytes by which the account would exceed its limits if `holder`, which is not
+// ending, had `bytes`.
 // Memory of holders that are ending counts as free if `count_ending` is false.
 std::size_t excess(const MemoryAccount& account, std::uint64_t holder,
                    std::size_t bytes, bool count_ending) {
-  std::size_t all = account.request_bytes + bytes;
+  const std::size_t before = account.requests.at(holder).bytes;
+  std::size_t all = account.request_bytes - before + bytes;
   std::size_t large =
-      account.large_request_bytes + (is_large(bytes) ? bytes : 0);
-  const auto subtract = [&](const HeldRequest& held) {
-    all -= held.bytes;
-    if (is_large(held.bytes)) large -= held.bytes;
-  };
-  for (const auto& [number, held] : account.requests) {
-    const bool is_leaving = held.is_ending && !count_ending;
-    if (number == holder || is_leaving) subtract(held);
+      account.large_request_bytes + large_part(bytes) - large_part(before);
+  if (!count_ending) {
+    all -= account.ending_bytes;
+    large -= account.ending_large_bytes;
   }
   const MemoryShares& shares = account.shares;
   const std::size_t limit = shares.large_requests + shares.small_requests;
@@ -128,7 +130,10 @@
   while (excess(account, holder, bytes, false) > 0) {
     const auto chosen = holder_to_end(account, holder, bytes, now);
     if (!chosen) break;
-    account.requests.at(*chosen).is_ending = true;
+    HeldRequest& ending = account.requests.at(*chosen);
+    ending.is_ending = true;
+    account.ending_bytes += ending.bytes;
+    account.ending_large_bytes += large_part(ending.bytes);
     answer.to_end.push_back(*chosen);
   }
   return answer;
@@ -144,6 +149,10 @@
 void release_request(MemoryAccount& account, std::uint64_t holder) {
   const auto found = account.requests.find(holder);
   if (found == account.requests.end()) return;
+  if (found->second.is_ending) {
+    account.ending_bytes -= found->second.bytes;
+    account.ending_large_bytes -= large_part(found->second.bytes);
+  }
   set_bytes(account, found->second, 0);
   account.requests.erase(found);
 }
--- a/src/libperidotreach/routing/memory_account.h
+++ b/src/libperidotreach/routing/memory_account.h
@@ -79,6 +79,9 @@
   std::map<std::uint64_t, HeldRequest> requests;
   std::size_t request_bytes = 0;
   std::size_t large_request_bytes = 0;
+  // What those that are ending hold.
+  std::size_t ending_bytes = 0;
+  std::size_t ending_large_bytes = 0;
   ResponseMemory responses;
 
   bool operator==(const MemoryAccount&) const = default;
--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -114,6 +114,10 @@
   stream_.close();
 }
 
+bool CallerSession::has_next_request() {
+  return idle_ && socket_state(stream_.socket()) == SocketState::kBytesArrived;
+}
+
 bool CallerSession::has_open_request() {
   return !idle_ || socket_state(stream_.socket()) == SocketState::kBytesArrived;
 }
@@ -265,7 +269,9 @@
   buffer_.shrink_to_fit();
   CallerResponse response =
       node_.memory_refusal(*this, request, reading_ended_, kMemoryRetryAfter);
-  if (co_await write_response(response, false, false)) co_await discard_input();
+  const bool is_head = request.method == "HEAD";
+  const bool is_written = co_await write_response(response, false, is_head);
+  if (is_written) co_await discard_input();
 }
 
 awaitable<void> CallerSession::discard_input() {
--- a/src/peridot-router/caller_session.h
+++ b/src/peridot-router/caller_session.h
@@ -58,6 +58,12 @@
   // Returns whether a part of a request has arrived that is not answered yet.
   bool has_open_request();
 
+  // Returns whether a request has arrived that is not being read yet.
+  bool has_next_request();
+
+  // Returns whether a request of this connection has been answered.
+  bool has_served() const { return has_served_; }
+
  private:
   using Parser = boost::beast::http::request_parser<ArrivingBody>;
 
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -631,11 +631,19 @@
   std::erase_if(open, [](const auto& session) {
     return !session->awaited_since().has_value();
   });
-  std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) {
-    return a->awaited_since() < b->awaited_since();
-  });
+  // Those that never sent a whole request go before idle connections of callers
+  // that were served.
+  const Millis stalled_since = monotonic_now() - kStalledAfter;
+  const auto rank = [&](const CallerSession& session) {
+    const bool never_sent =
+        !session.has_served() && *session.awaited_since() <= stalled_since;
+    return std::pair(!never_sent, *session.awaited_since());
+  };
+  std::sort(open.begin(), open.end(),
+            [&](const auto& a, const auto& b) { return rank(*a) < rank(*b); });
   for (const auto& session : open) {
     if (!is_full(remaining)) break;
+    if (session->has_next_request()) continue;
     perform(RecordDecision{"connection_closed",
                            0,
                            {{"reason", "sockets"},
--- a/tests/routing/memory_account_test.cc
+++ b/tests/routing/memory_account_test.cc
@@ -61,6 +61,10 @@
             hold_request(account, holder, below(kLargest), now);
         ending.insert(ending.end(), answer.to_end.begin(), answer.to_end.end());
       }
+      std::size_t ending_bytes = 0;
+      for (const auto& [number, entry] : account.requests)
+        ending_bytes += entry.is_ending ? entry.bytes : 0;
+      REQUIRE(account.ending_bytes == ending_bytes);
       REQUIRE(account.request_bytes <= request_limit(account));
       REQUIRE(account.large_request_bytes <= account.shares.large_requests);
     }
