--- a/tests/http_header_test.cc
+++ b/tests/http_header_test.cc
@@ -40,11 +40,13 @@
     std::string lines;
     while (begin.size() + lines.size() + 16 + end.size() <= kLimit)
       lines += "A-B: 123456789\r\n";
-    std::string longest = begin + lines + end;
+    std::string longest = begin;
+    longest.append(lines).append(end);
     longest.insert(begin.size() + 5, kLimit - longest.size(), '0');
     REQUIRE(longest.size() == kLimit);
     CHECK_FALSE(read_pieces(longest, piece));
-    const std::string endless = begin + lines + lines + lines;
+    std::string endless = begin;
+    endless.append(lines).append(lines).append(lines);
     CHECK(read_pieces(endless, piece) == http::error::header_limit);
   }
 }
