--- a/src/peridot-router/caller_session.cc
+++ b/src/peridot-router/caller_session.cc
@@ -13,6 +13,7 @@
 #include "peridot-router/router_node.h"
 #include "runtime/clock.h"
 #include "runtime/http_framing.h"
+#include "runtime/http_header.h"
 #include "runtime/http_server.h"
 #include "runtime/socket_state.h"
 #include "runtime/transfer_coding.h"
@@ -113,6 +114,10 @@
   stream_.close();
 }
 
+bool CallerSession::has_next_request() {
+  return idle_ && socket_state(stream_.socket()) == SocketState::kBytesArrived;
+}
+
 bool CallerSession::has_open_request() {
   return !idle_ || socket_state(stream_.socket()) == SocketState::kBytesArrived;
 }
@@ -142,11 +147,16 @@
       (reads_header ? node_.caller_limits().max_header_bytes : 0);
   parser.eager(!reads_header);
   Millis deadline = monotonic_now() + timeout;
+  std::size_t header_bytes = 0;
   error_code failed;
   while (reads_header ? !parser.is_header_done() : !parser.is_done()) {
     if (buffer_.size() > 0) {
-      const std::size_t used = parser.put(buffer_.data(), failed);
-      buffer_.consume(used);
+      if (reads_header) {
+        failed = put_header(parser, buffer_, header_bytes,
+                            node_.caller_limits().max_header_bytes);
+      } else {
+        buffer_.consume(parser.put(buffer_.data(), failed));
+      }
       if (failed && failed != http::error::need_more) co_return failed;
       if (!failed) continue;
     }
@@ -259,7 +269,9 @@
   buffer_.shrink_to_fit();
   CallerResponse response =
       node_.memory_refusal(*this, request, reading_ended_, kMemoryRetryAfter);
-  if (co_await write_response(response, false, false)) co_await discard_input();
+  const bool is_head = request.method == "HEAD";
+  const bool is_written = co_await write_response(response, false, is_head);
+  if (is_written) co_await discard_input();
 }
 
 awaitable<void> CallerSession::discard_input() {
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -682,11 +682,19 @@
   std::erase_if(open, [](const auto& session) {
     return !session->awaited_since().has_value();
   });
-  std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) {
-    return a->awaited_since() < b->awaited_since();
-  });
+  // Those that never sent a whole request go before idle connections of callers
+  // that were served.
+  const Millis stalled_since = monotonic_now() - kStalledAfter;
+  const auto rank = [&](const CallerSession& session) {
+    const bool never_sent =
+        !session.has_served() && *session.awaited_since() <= stalled_since;
+    return std::pair(!never_sent, *session.awaited_since());
+  };
+  std::sort(open.begin(), open.end(),
+            [&](const auto& a, const auto& b) { return rank(*a) < rank(*b); });
   for (const auto& session : open) {
     if (!is_full(remaining)) break;
+    if (session->has_next_request()) continue;
     perform(RecordDecision{"connection_closed",
                            0,
                            {{"reason", "sockets"},
@@ -794,6 +802,8 @@
          {"all_bytes", std::to_string(memory_.responses.total)},
          {"limit", std::to_string(memory_.responses.limit)}});
     release_response(memory_.responses, *largest, false);
+    if (const auto exchange = find_exchange(*largest))
+      exchange->drop_bytes_on_abort();
     // The read that fails ends the attempt as broken.
     for (auto attempt = attempts_.lower_bound({*largest, 0});
          attempt != attempts_.end() && attempt->first.first == *largest;
@@ -831,6 +841,8 @@
 void RouterNode::perform(const FinishStream& effect) {
   const auto exchange = find_exchange(effect.request);
   if (exchange == nullptr) return;
+  // Its last bytes are held until the caller has taken them.
+  complete_response(memory_.responses, effect.request, monotonic_now());
   exchange->release_body();
   exchange->finish_stream();
 }
@@ -848,9 +860,11 @@
 }
 
 void RouterNode::perform(const AbortResponse& effect) {
-  if (const auto exchange = find_exchange(effect.request)) {
-    exchange->abort();
-  }
+  const auto exchange = find_exchange(effect.request);
+  if (exchange == nullptr) return;
+  complete_response(memory_.responses, effect.request, monotonic_now());
+  exchange->release_body();
+  exchange->abort();
 }
 
 void RouterNode::perform(const CopyGeneration& effect) {
