Cold endpoints: failures that peers report count

Cause: a failure marked the endpoint as maybe cold only in the process that saw it; placements are chosen by the coordinator, which placed there without a permit. Change: a report with more failures of an endpoint than the peer's report before marks it, for services with a rate only. Result: the new test failed before (no permit was requested) and passes.

--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -358,11 +358,33 @@
   }
 }
 
+// Suspects the endpoints for which a peer reports more failures than before: a
+// request may be placed there by this process, whether it sends any or not.
+void suspect_reported_failures(
+    const RoutingContext& context, const PeerReportReceived& event,
+    const std::map<std::string, EndpointUsage>& previous) {
+  RoutingState& state = context.state;
+  for (const EndpointUsage& usage : event.endpoint_usage) {
+    const auto found = previous.find(usage.endpoint);
+    const double known =
+        found == previous.end() ? 0 : found->second.transport_failures;
+    if (usage.transport_failures <= known) continue;
+    EndpointState* endpoint = find_endpoint(context, usage.endpoint);
+    if (endpoint == nullptr) continue;
+    const ServiceSpec* service = find_service(state, endpoint->entry.service);
+    if (service == nullptr || service->cold_requests_per_second <= 0) continue;
+    const bool was_cold = cold_rate(state, *endpoint).has_value();
+    suspect_cold(endpoint->cold_phase, state.now);
+    record_if_cold(context, *endpoint, was_cold, "failure at " + event.peer);
+  }
+}
+
 void apply(const RoutingContext& context, const PeerReportReceived& event) {
   RoutingState& state = context.state;
   PeerReport& report = state.peer_reports[event.peer];
   std::map<std::string, EndpointUsage> affected =
       std::move(report.endpoint_usage);
+  suspect_reported_failures(context, event, affected);
   report.endpoint_usage.clear();
   for (const EndpointUsage& usage : event.endpoint_usage)
     report.endpoint_usage[usage.endpoint] = usage;
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -138,6 +138,36 @@
   CHECK_FALSE(is_cold(router, "e1"));
 }
 
+TEST_CASE("a placement after a peer's failure waits for a permit", "[cold]") {
+  RouterHarness router = router_with_cold_engines();
+  PeerReportReceived report;
+  report.peer = "vm-2";
+  report.endpoint_usage = {{"e1"}, {"e2"}, {"e3"}};
+  router.apply(report);
+  REQUIRE_FALSE(is_cold(router, "e1"));
+  for (EndpointUsage& usage : report.endpoint_usage)
+    usage.transport_failures = 1;
+  router.apply(report);
+  const auto effects = router.apply(
+      PlacementRequested{"vm-3", 7, {"engines", 2000, 2000, 2, "a"}});
+  CHECK(effects_of<RequestPermits>(effects).size() == 1);
+  // The request is queued.
+  for (const AnswerPlacement& answer : effects_of<AnswerPlacement>(effects))
+    CHECK(answer.endpoint.empty());
+
+  // Decaying failures are no new ones.
+  for (const char* id : {"e1", "e2", "e3"}) {
+    EndpointEntry restarted = next_entry(router, id);
+    restarted.started_at_ms += 1;
+    router.apply(EndpointListed{restarted});
+  }
+  router.advance(kSecond);
+  for (EndpointUsage& usage : report.endpoint_usage)
+    usage.transport_failures = 0.5;
+  router.apply(report);
+  CHECK_FALSE(is_cold(router, "e1"));
+}
+
 TEST_CASE("no permit is requested where no cold rate is configured", "[cold]") {
   RouterHarness router;
   EndpointEntry cold = next_entry(router, "e1");
