Cold endpoints: small parts of a split fleet get no permits

Cause: each part keeps at least one permit, so that many processes that are each alone sent more than the rate together: 13 of 67 at a rate of 2 exceeded 8 in a second.

--- a/src/libperidotreach/routing/request_permits.cc
+++ b/src/libperidotreach/routing/request_permits.cc
@@ -19,8 +19,14 @@
 // each, so that the permits of low rates are not lost between two requests.
 constexpr double kMinSharedPermits = 2;
 
-// Lowest rate of a small part of a split fleet, so that the time until the next
-// permit stays finite.
+// Permits that the buckets of all parts may keep beside those: this share of a
+// second's permits, and these. Each part keeps at least one, so that parts
+// which are too small for that get none.
+constexpr double kMaxKeptShare = 0.2;
+constexpr double kMaxKeptPermits = 3;
+
+// Rate for parts that get no permits, so that the time until the next request
+// stays finite.
 constexpr double kMinColdPermitsPerSecond = 0.01;
 
 // Rate for endpoints that take no requests. A request now and then shows when
@@ -49,6 +55,9 @@
 }
 
 PermitTerms cold_terms(double requests_per_second, double live_share) {
+  const double max_parts =
+      kMaxKeptShare * requests_per_second + kMaxKeptPermits;
+  if (live_share * max_parts < 1) return {kMinColdPermitsPerSecond, 0, 0};
   const double rate =
       std::max(requests_per_second * live_share, kMinColdPermitsPerSecond);
   return {rate,
--- a/src/libperidotreach/routing/request_permits.h
+++ b/src/libperidotreach/routing/request_permits.h
@@ -74,7 +74,8 @@
 PermitTerms limit_terms(double requests_per_second, double live_share);
 
 // Returns the terms for an endpoint that may be cold. The parts of a split
-// fleet together hand out no more than the endpoint's rate.
+// fleet together hand out no more than the endpoint's rate and what their
+// buckets keep; small parts hand out none.
 PermitTerms cold_terms(double requests_per_second, double live_share);
 
 // Returns the stricter of both terms in each respect.
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -2,6 +2,7 @@
 // endpoints and sends them all that it has.
 
 #include <catch2/catch.hpp>
+#include <cmath>
 
 #include "libperidotreach/routing/cold_phase.h"
 #include "libperidotreach/routing/request_permits.h"
@@ -74,6 +75,41 @@
   CHECK(fleet.most_arrivals_in_second(since) <= kAllowedInSecond);
 }
 
+TEST_CASE("many processes that are each alone stay within a cold rate",
+          "[cold]") {
+  const double rate = GENERATE(2.0, kColdRate);
+  const std::string when = GENERATE("before", "as it becomes cold");
+  CAPTURE(rate, when);
+  LimitSimulation fleet(67, 1, std::nullopt, rate);
+  fleet.run(1500, rate);
+  for (std::size_t vm = 0; vm < 13; ++vm) fleet.cut_off(vm);
+  if (when == "before") fleet.run(3000, rate);
+  const Millis since = fleet.now();
+  fleet.list_cold(0, 4 * kSecond);
+  fleet.run(4000, 20 * rate);
+  CHECK(static_cast<double>(fleet.most_arrivals_in_second(since)) <=
+        1.5 * rate + 5);
+}
+
+TEST_CASE("the terms of all parts together stay within a cold rate", "[cold]") {
+  const double rate = GENERATE(0.5, 2.0, 10.0, kColdRate, 300.0);
+  const double alone = GENERATE(0.0, 13.0 / 67, 60.0 / 300, 1.0);
+  const double part = GENERATE(0.002, 1.0 / 67, 0.1, 0.125, 0.25, 0.5, 1.0);
+  CAPTURE(rate, alone, part);
+  // A fleet of which `alone` is split into parts of the same size.
+  const auto sum = [&](double share, double parts) {
+    const PermitTerms terms = cold_terms(rate, share);
+    const double in_second =
+        terms.permits_per_second * (kSecond + kColdPermitLifetime) / kSecond;
+    // Parts without permits have an empty bucket.
+    return terms.bucket_capacity < 1
+               ? 0
+               : parts * (terms.bucket_capacity + in_second);
+  };
+  CHECK(sum(part, std::floor(alone / part)) + sum(1 - alone, 1) <=
+        1.5 * rate + 5);
+}
+
 TEST_CASE("a cold rate holds while the coordinator of its permits is lost",
           "[cold]") {
   LimitSimulation fleet(8, 1, std::nullopt, kColdRate);
