Cold endpoints: resumed generations are counted

Cause: a generation that goes on at its source, or at a target that became cold during the copy, was sent without a permit and not counted; a permit used at the choice of the target has lapsed by the time of the resumption. Change: the next permit is spent on it where the endpoint may be cold. Result: the new test fails without the count (0 instead of 1 overdrawn), passes with it.

--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -179,6 +179,18 @@
   return "";
 }
 
+// Counts a resumed generation at an endpoint that may be cold, unless the
+// permit that was used when the target was chosen is still valid.
+void count_resumed(const RoutingContext& context, const GenerationMove& move,
+                   const std::string& resumed_at) {
+  const RoutingState& state = context.state;
+  if (!cold_rate(state, state.endpoints.at(resumed_at))) return;
+  const bool has_permit = resumed_at == move.target &&
+                          move.permit_used_at != 0 &&
+                          state.now - move.permit_used_at < kColdPermitLifetime;
+  if (!has_permit) overdraw_permits(context, resumed_at);
+}
+
 // Resumes at the target once everything is copied and the source's stream has
 // ended or delivered all of its events.
 void resume_if_ready(const RoutingContext& context,
@@ -211,6 +223,7 @@
   request.previous_endpoint = request.endpoint;
   request.previous_kv_cache = kv_cache;
   request.move_count += 1;
+  count_resumed(context, move, resumed_at);
   start_attempt(context, request_number, request, resumed_at,
                 std::move(kv_cache));
 }
@@ -264,7 +277,10 @@
     return;
   }
   // The source keeps the KV cache if the target has no capacity for the rest.
-  if (event.status != kHttpOk) request.move.target = request.endpoint;
+  if (event.status != kHttpOk) {
+    request.move.target = request.endpoint;
+    request.move.permit_used_at = 0;
+  }
   request.move.phase = MovePhase::kResuming;
   request.move.events_made = event.events_made;
   resume_if_ready(context, request_number, request);
@@ -314,6 +330,8 @@
     postpone_move(context, request_number, request);
     return;
   }
+  request.move.permit_used_at =
+      cold_rate(context.state, *endpoint) ? context.state.now : 0;
   start_copy(context, request_number, request, target);
 }
 
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -94,6 +94,9 @@
 struct GenerationMove {
   MovePhase phase = MovePhase::kNone;
   std::string target;
+  // When a permit for the target was used as it may have been cold; 0 if none
+  // was needed.
+  Millis permit_used_at = 0;
   // Tokens reserved at the target during the move.
   std::uint64_t reserved_tokens = 0;
   // Attempts to move off the current endpoint.
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -265,5 +265,39 @@
   CHECK(placed.front().endpoint == "e2");
 }
 
+TEST_CASE("a generation that resumes at a cold engine is counted", "[cold]") {
+  RouterHarness router = router_with_cold_engines();
+  const std::string where = GENERATE("target", "source");
+  CAPTURE(where);
+  const auto request = router.send_request("/stream/1");
+  router.apply(StreamOpened{request, 1});
+  for (int i = 0; i < 10; ++i) {
+    router.now += 40;
+    router.apply(StreamEventReceived{request, 1, i});
+  }
+  const std::string source = router.last_attempt(request).endpoint;
+  EndpointEntry leaving = next_entry(router, source);
+  leaving.leaving = true;
+  router.apply(EndpointListed{leaving});
+  router.answer_placements(router.apply(CopyLeaseGranted{request, source}));
+  const std::string target = router.state.requests.at(request).move.target;
+  REQUIRE_FALSE(target.empty());
+  // Both become cold during the copy.
+  for (const std::string& id : {source, target}) {
+    EndpointEntry cold = next_entry(router, id);
+    cold.remaining_warm_up = 5000;
+    router.apply(EndpointListed{cold});
+  }
+  CopyFinished copied{request, 200, "h-1"};
+  copied.events_made = 9;
+  router.apply(copied);
+  if (where == "source") copied.status = 503;
+  router.apply(copied);
+  REQUIRE(router.last_attempt(request).attempt == 2);
+  const std::string& resumed_at = where == "source" ? source : target;
+  CHECK(router.last_attempt(request).endpoint == resumed_at);
+  CHECK(router.state.endpoints.at(resumed_at).permits.overdrawn == 1);
+}
+
 }  // namespace
 }  // namespace peridotreach
