Permits: endpoints with a limit are chosen as before

Cause: the preference for a permit at hand, and the second choice of a move, also acted where no cold rate is configured. Change: only if the endpoint whose permit is awaited may be cold. Result: the new test failed before (the move was placed elsewhere) and passes.

--- a/src/libperidotreach/routing/limited_endpoints.cc
+++ b/src/libperidotreach/routing/limited_endpoints.cc
@@ -76,8 +76,9 @@
                               awaited->permits.requested_at != 0 &&
                               !criteria.needs_permit_now;
   if (is_outstanding) return {"", awaited_permit};
-  const bool has_arrived =
-      awaited != nullptr && has_permit(awaited->permits, context.state.now);
+  const bool has_arrived = awaited != nullptr &&
+                           cold_rate(context.state, *awaited) &&
+                           has_permit(awaited->permits, context.state.now);
   const std::string id = has_arrived
                              ? choose_with_permit_at_hand(context, criteria)
                              : choose_endpoint(context.state, criteria);
@@ -92,7 +93,8 @@
 std::string choose_for_move(const RoutingContext& context,
                             EndpointCriteria criteria) {
   const PermittedChoice choice = choose_with_permit(context, criteria);
-  if (!choice.endpoint.empty() || choice.awaited_permit.empty())
+  const EndpointState* awaited = find_endpoint(context, choice.awaited_permit);
+  if (awaited == nullptr || !cold_rate(context.state, *awaited))
     return choice.endpoint;
   criteria.needs_permit_now = true;
   return choose_with_permit(context, criteria).endpoint;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -161,7 +161,7 @@
                                    const EndpointCriteria& criteria,
                                    const std::string& awaited_permit = "");
 // The same for a move, whose source may end before a permit arrives: chooses
-// another endpoint if the best one has no permit at hand.
+// another endpoint if the best one may be cold and has no permit at hand.
 std::string choose_for_move(const RoutingContext& context,
                             EndpointCriteria criteria);
 // Counts a request that has to be sent to an endpoint without a permit.
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -265,6 +265,25 @@
   CHECK(placed.front().endpoint == "e2");
 }
 
+TEST_CASE("a move awaits a permit of an engine with a limit", "[cold]") {
+  RouterHarness router;
+  EndpointNotice limited;
+  limited.requests_per_second = 5;
+  router.apply(EndpointAnswered{"e1", limited});
+  PeerReportReceived busy;
+  busy.peer = "vm-2";
+  busy.endpoint_usage = {{"e2", 10, 20000}};
+  router.apply(busy);
+  PlacementRequested move{"vm-2", 7, {"engines", 2000, 2000, 2, "a"}};
+  move.requirements.is_move = true;
+  move.requirements.excluded_endpoints = {"e3"};
+  const auto effects = router.apply(move);
+  const auto placed = effects_of<AnswerPlacement>(effects);
+  REQUIRE(placed.size() == 1);
+  CHECK(placed.front().endpoint.empty());
+  CHECK(effects_of<RequestPermits>(effects).size() == 1);
+}
+
 TEST_CASE("a generation that resumes at a cold engine is counted", "[cold]") {
   RouterHarness router = router_with_cold_engines();
   const std::string where = GENERATE("target", "source");
