Cold endpoints: only newer entries end a suspicion

Cause: any entry that was received 500 ms after a failure ended it, also the known one read again, or an older one out of a slow store. Change: the entry's sequence must have risen, and one that says warm must come 2 s later or more. Result: the extended test fails without the check of the sequence and passes.

--- a/src/libperidotreach/routing/cold_phase.cc
+++ b/src/libperidotreach/routing/cold_phase.cc
@@ -15,10 +15,12 @@
   phase.started_at = now;
 }
 
-void observe_entry(ColdPhase& phase, Millis remaining, Millis now) {
+void observe_entry(ColdPhase& phase, Millis remaining, bool is_newer,
+                   Millis now) {
   phase.entry_until = remaining == 0 ? 0 : now + remaining;
-  const bool follows_suspicion = phase.suspected_since != 0 &&
-                                 now - phase.suspected_since >= kColdEntryDelay;
+  const Millis delay = remaining == 0 ? kWarmEntryDelay : kColdEntryDelay;
+  const bool follows_suspicion = is_newer && phase.suspected_since != 0 &&
+                                 now - phase.suspected_since >= delay;
   if (follows_suspicion) phase.suspected_since = 0;
 }
 
--- a/src/libperidotreach/routing/cold_phase.h
+++ b/src/libperidotreach/routing/cold_phase.h
@@ -14,10 +14,14 @@
 struct ServiceSpec;
 
 // Time from the failure of an endpoint until an entry that is received may be
-// taken as written after it. Entries travel through the store and from peer to
-// peer.
+// taken as written after it if it says that the endpoint is cold. Entries
+// travel through the store and from peer to peer.
 inline constexpr Millis kColdEntryDelay = 500;
 
+// The same for an entry that says that it is warm, by which nothing bounds the
+// requests any more: also if the store is slow.
+inline constexpr Millis kWarmEntryDelay = 2 * kSecond;
+
 // What is known of the phases in which one endpoint is cold.
 struct ColdPhase {
   // Until when it is cold by its newest entry.
@@ -44,8 +48,10 @@
 // the cold start time.
 void observe_answer(ColdPhase& phase, Millis now);
 
-// Records an entry by which the endpoint stays cold for `remaining`.
-void observe_entry(ColdPhase& phase, Millis remaining, Millis now);
+// Records an entry by which the endpoint stays cold for `remaining`. `is_newer`
+// says whether it was written after the entry that was known.
+void observe_entry(ColdPhase& phase, Millis remaining, bool is_newer,
+                   Millis now);
 
 // Returns whether an endpoint with this cold start time may be cold.
 bool may_be_cold(const ColdPhase& phase, Millis cold_start, Millis now);
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -169,12 +169,14 @@
   const bool is_relisted = !endpoint.listed;
   const bool was_cold =
       !endpoint.entry.id.empty() && cold_rate(state, endpoint).has_value();
+  const bool is_newer = entry.sequence > endpoint.entry.sequence;
   endpoint.entry = entry;
   endpoint.listed = true;
   endpoint.was_removed = false;
   endpoint.entry_missing_since = 0;
   endpoint.zone_closed_since = zone_closed_since(state, entry.zone);
-  observe_entry(endpoint.cold_phase, entry.remaining_warm_up, state.now);
+  observe_entry(endpoint.cold_phase, entry.remaining_warm_up, is_newer,
+                state.now);
   if (entry.remaining_warm_up > 0)
     record_if_cold(context, endpoint, was_cold, "entry");
   if (entry.leaving) mark_leaving(context, endpoint, "notice");
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -158,7 +158,12 @@
   const std::string failed = router.last_attempt(request).endpoint;
   router.apply(AttemptEnded{request, 1, AttemptOutcome::kNotSent, 0, {}});
   router.apply(EndpointListed{next_entry(router, failed)});
+  // Warm entries that come soon may have been written before it.
+  router.advance(kWarmEntryDelay - 1);
+  router.apply(EndpointListed{next_entry(router, failed)});
   router.advance(5 * kSecond);
+  // So may the known one that is read again.
+  router.apply(EndpointListed{router.state.endpoints.at(failed).entry});
   CHECK(is_cold(router, failed));
   router.apply(EndpointListed{next_entry(router, failed)});
   CHECK_FALSE(is_cold(router, failed));
