Permits: those of both lifetimes are kept in order

Cause: a permit of a cold endpoint was added behind one that lapses later, so that has_permit, which reads the last one, missed it. Change: permits are inserted by when they lapse; with one lifetime nothing changes. Result: the new test failed before and passes.

--- a/src/libperidotreach/routing/request_permits.cc
+++ b/src/libperidotreach/routing/request_permits.cc
@@ -133,8 +133,10 @@
   permits.requested_at = 0;
   const std::uint32_t repaid = std::min(permits.overdrawn, grant.permits);
   permits.overdrawn -= repaid;
-  for (std::uint32_t i = repaid; i < grant.permits; ++i)
-    permits.lapse_at.push_back(requested_at + lifetime);
+  const Millis lapse_at = requested_at + lifetime;
+  const auto later = std::upper_bound(permits.lapse_at.begin(),
+                                      permits.lapse_at.end(), lapse_at);
+  permits.lapse_at.insert(later, grant.permits - repaid, lapse_at);
   if (grant.permits == 0) permits.denied_until = now + grant.retry_after;
   return true;
 }
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -251,6 +251,17 @@
         0);
 }
 
+TEST_CASE("permits of both lifetimes lapse in order", "[cold]") {
+  EndpointPermits permits;
+  permits.requested_at = 1000;
+  REQUIRE(add_permits(permits, {1, 0}, 1000, kPermitLifetime, 1010));
+  permits.requested_at = 1020;
+  REQUIRE(add_permits(permits, {1, 0}, 1020, kColdPermitLifetime, 1030));
+  CHECK(has_permit(permits, 1300));
+  CHECK(use_permit(permits, 1300));
+  CHECK_FALSE(use_permit(permits, 1300));
+}
+
 TEST_CASE("a move goes to a warm engine rather than wait for a permit",
           "[cold]") {
   RouterHarness router = router_with_cold_engines();
