--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -174,6 +174,7 @@
   const bool is_relisted = !endpoint.listed;
   const bool was_cold =
       !endpoint.entry.id.empty() && cold_rate(state, endpoint).has_value();
+  const bool is_newer = entry.sequence > endpoint.entry.sequence;
   endpoint.entry = entry;
   endpoint.listed = true;
   endpoint.was_removed = false;
@@ -181,7 +182,8 @@
   endpoint.zone_closed_since = zone_closed_since(state, entry.zone);
   const bool turns_cold = entry.remaining_warm_up > 0 &&
                           endpoint.cold_phase.entry_until <= state.now;
-  observe_entry(endpoint.cold_phase, entry.remaining_warm_up, state.now);
+  observe_entry(endpoint.cold_phase, entry.remaining_warm_up, is_newer,
+                state.now);
   if (has_restarted || turns_cold) pace_started_endpoint(context, endpoint);
   if (entry.remaining_warm_up > 0)
     record_if_cold(context, endpoint, was_cold, "entry");
@@ -370,11 +372,33 @@
   }
 }
 
+// Suspects the endpoints for which a peer reports more failures than before: a
+// request may be placed there by this process, whether it sends any or not.
+void suspect_reported_failures(
+    const RoutingContext& context, const PeerReportReceived& event,
+    const std::map<std::string, EndpointUsage>& previous) {
+  RoutingState& state = context.state;
+  for (const EndpointUsage& usage : event.endpoint_usage) {
+    const auto found = previous.find(usage.endpoint);
+    const double known =
+        found == previous.end() ? 0 : found->second.transport_failures;
+    if (usage.transport_failures <= known) continue;
+    EndpointState* endpoint = find_endpoint(context, usage.endpoint);
+    if (endpoint == nullptr) continue;
+    const ServiceSpec* service = find_service(state, endpoint->entry.service);
+    if (service == nullptr || service->cold_requests_per_second <= 0) continue;
+    const bool was_cold = cold_rate(state, *endpoint).has_value();
+    suspect_cold(endpoint->cold_phase, state.now);
+    record_if_cold(context, *endpoint, was_cold, "failure at " + event.peer);
+  }
+}
+
 void apply(const RoutingContext& context, const PeerReportReceived& event) {
   RoutingState& state = context.state;
   PeerReport& report = state.peer_reports[event.peer];
   std::map<std::string, EndpointUsage> affected =
       std::move(report.endpoint_usage);
+  suspect_reported_failures(context, event, affected);
   report.endpoint_usage.clear();
   for (const EndpointUsage& usage : event.endpoint_usage)
     report.endpoint_usage[usage.endpoint] = usage;
--- a/tests/routing/cold_endpoints_test.cc
+++ b/tests/routing/cold_endpoints_test.cc
@@ -2,6 +2,7 @@
 // endpoints and sends them all that it has.
 
 #include <catch2/catch.hpp>
+#include <cmath>
 
 #include "libperidotreach/routing/cold_phase.h"
 #include "libperidotreach/routing/request_permits.h"
@@ -74,6 +75,41 @@
   CHECK(fleet.most_arrivals_in_second(since) <= kAllowedInSecond);
 }
 
+TEST_CASE("many processes that are each alone stay within a cold rate",
+          "[cold]") {
+  const double rate = GENERATE(2.0, kColdRate);
+  const std::string when = GENERATE("before", "as it becomes cold");
+  CAPTURE(rate, when);
+  LimitSimulation fleet(67, 1, std::nullopt, rate);
+  fleet.run(1500, rate);
+  for (std::size_t vm = 0; vm < 13; ++vm) fleet.cut_off(vm);
+  if (when == "before") fleet.run(3000, rate);
+  const Millis since = fleet.now();
+  fleet.list_cold(0, 4 * kSecond);
+  fleet.run(4000, 20 * rate);
+  CHECK(static_cast<double>(fleet.most_arrivals_in_second(since)) <=
+        1.5 * rate + 5);
+}
+
+TEST_CASE("the terms of all parts together stay within a cold rate", "[cold]") {
+  const double rate = GENERATE(0.5, 2.0, 10.0, kColdRate, 300.0);
+  const double alone = GENERATE(0.0, 13.0 / 67, 60.0 / 300, 1.0);
+  const double part = GENERATE(0.002, 1.0 / 67, 0.1, 0.125, 0.25, 0.5, 1.0);
+  CAPTURE(rate, alone, part);
+  // A fleet of which `alone` is split into parts of the same size.
+  const auto sum = [&](double share, double parts) {
+    const PermitTerms terms = cold_terms(rate, share);
+    const double in_second =
+        terms.permits_per_second * (kSecond + kColdPermitLifetime) / kSecond;
+    // Parts without permits have an empty bucket.
+    return terms.bucket_capacity < 1
+               ? 0
+               : parts * (terms.bucket_capacity + in_second);
+  };
+  CHECK(sum(part, std::floor(alone / part)) + sum(1 - alone, 1) <=
+        1.5 * rate + 5);
+}
+
 TEST_CASE("a cold rate holds while the coordinator of its permits is lost",
           "[cold]") {
   LimitSimulation fleet(8, 1, std::nullopt, kColdRate);
@@ -122,7 +158,12 @@
   const std::string failed = router.last_attempt(request).endpoint;
   router.apply(AttemptEnded{request, 1, AttemptOutcome::kNotSent, 0, {}});
   router.apply(EndpointListed{next_entry(router, failed)});
+  // Warm entries that come soon may have been written before it.
+  router.advance(kWarmEntryDelay - 1);
+  router.apply(EndpointListed{next_entry(router, failed)});
   router.advance(5 * kSecond);
+  // So may the known one that is read again.
+  router.apply(EndpointListed{router.state.endpoints.at(failed).entry});
   CHECK(is_cold(router, failed));
   router.apply(EndpointListed{next_entry(router, failed)});
   CHECK_FALSE(is_cold(router, failed));
@@ -138,6 +179,36 @@
   CHECK_FALSE(is_cold(router, "e1"));
 }
 
+TEST_CASE("a placement after a peer's failure waits for a permit", "[cold]") {
+  RouterHarness router = router_with_cold_engines();
+  PeerReportReceived report;
+  report.peer = "vm-2";
+  report.endpoint_usage = {{"e1"}, {"e2"}, {"e3"}};
+  router.apply(report);
+  REQUIRE_FALSE(is_cold(router, "e1"));
+  for (EndpointUsage& usage : report.endpoint_usage)
+    usage.transport_failures = 1;
+  router.apply(report);
+  const auto effects = router.apply(
+      PlacementRequested{"vm-3", 7, {"engines", 2000, 2000, 2, "a"}});
+  CHECK(effects_of<RequestPermits>(effects).size() == 1);
+  // The request is queued.
+  for (const AnswerPlacement& answer : effects_of<AnswerPlacement>(effects))
+    CHECK(answer.endpoint.empty());
+
+  // Decaying failures are no new ones.
+  for (const char* id : {"e1", "e2", "e3"}) {
+    EndpointEntry restarted = next_entry(router, id);
+    restarted.started_at_ms += 1;
+    router.apply(EndpointListed{restarted});
+  }
+  router.advance(kSecond);
+  for (EndpointUsage& usage : report.endpoint_usage)
+    usage.transport_failures = 0.5;
+  router.apply(report);
+  CHECK_FALSE(is_cold(router, "e1"));
+}
+
 TEST_CASE("no permit is requested where no cold rate is configured", "[cold]") {
   RouterHarness router;
   EndpointEntry cold = next_entry(router, "e1");
@@ -180,6 +251,17 @@
         0);
 }
 
+TEST_CASE("permits of both lifetimes lapse in order", "[cold]") {
+  EndpointPermits permits;
+  permits.requested_at = 1000;
+  REQUIRE(add_permits(permits, {1, 0}, 1000, kPermitLifetime, 1010));
+  permits.requested_at = 1020;
+  REQUIRE(add_permits(permits, {1, 0}, 1020, kColdPermitLifetime, 1030));
+  CHECK(has_permit(permits, 1300));
+  CHECK(use_permit(permits, 1300));
+  CHECK_FALSE(use_permit(permits, 1300));
+}
+
 TEST_CASE("a move goes to a warm engine rather than wait for a permit",
           "[cold]") {
   RouterHarness router = router_with_cold_engines();
@@ -199,5 +281,58 @@
   CHECK(placed.front().endpoint == "e2");
 }
 
+TEST_CASE("a move awaits a permit of an engine with a limit", "[cold]") {
+  RouterHarness router;
+  EndpointNotice limited;
+  limited.requests_per_second = 5;
+  router.apply(EndpointAnswered{"e1", limited});
+  PeerReportReceived busy;
+  busy.peer = "vm-2";
+  busy.endpoint_usage = {{"e2", 10, 20000}};
+  router.apply(busy);
+  PlacementRequested move{"vm-2", 7, {"engines", 2000, 2000, 2, "a"}};
+  move.requirements.is_move = true;
+  move.requirements.excluded_endpoints = {"e3"};
+  const auto effects = router.apply(move);
+  const auto placed = effects_of<AnswerPlacement>(effects);
+  REQUIRE(placed.size() == 1);
+  CHECK(placed.front().endpoint.empty());
+  CHECK(effects_of<RequestPermits>(effects).size() == 1);
+}
+
+TEST_CASE("a generation that resumes at a cold engine is counted", "[cold]") {
+  RouterHarness router = router_with_cold_engines();
+  const std::string where = GENERATE("target", "source");
+  CAPTURE(where);
+  const auto request = router.send_request("/stream/1");
+  router.apply(StreamOpened{request, 1});
+  for (int i = 0; i < 10; ++i) {
+    router.now += 40;
+    router.apply(StreamEventReceived{request, 1, i});
+  }
+  const std::string source = router.last_attempt(request).endpoint;
+  EndpointEntry leaving = next_entry(router, source);
+  leaving.leaving = true;
+  router.apply(EndpointListed{leaving});
+  router.answer_placements(router.apply(CopyLeaseGranted{request, source}));
+  const std::string target = router.state.requests.at(request).move.target;
+  REQUIRE_FALSE(target.empty());
+  // Both become cold during the copy.
+  for (const std::string& id : {source, target}) {
+    EndpointEntry cold = next_entry(router, id);
+    cold.remaining_warm_up = 5000;
+    router.apply(EndpointListed{cold});
+  }
+  CopyFinished copied{request, 200, "h-1"};
+  copied.events_made = 9;
+  router.apply(copied);
+  if (where == "source") copied.status = 503;
+  router.apply(copied);
+  REQUIRE(router.last_attempt(request).attempt == 2);
+  const std::string& resumed_at = where == "source" ? source : target;
+  CHECK(router.last_attempt(request).endpoint == resumed_at);
+  CHECK(router.state.endpoints.at(resumed_at).permits.overdrawn == 1);
+}
+
 }  // namespace
 }  // namespace peridotreach
