Speeds of engines are fields of the digest's message

Cause: the fields were written by number through unknown fields, as the generator was missing where they were added.

--- a/src/peridot-router/endpoint_speed_cell.h
+++ b/src/peridot-router/endpoint_speed_cell.h
@@ -12,13 +12,11 @@
 class RoutingDigest;
 }  // namespace proto
 
-// Adds speeds to a digest, as `repeated EndpointSpeedCell speeds = 22` with the
-// fields `string endpoint = 1`, `uint32 event_group_ms = 2` and
-// `uint32 prefill_ms = 3`.
+// Adds speeds to a digest.
 void encode_speeds(const std::vector<ObservedSpeed>& speeds,
                    proto::RoutingDigest& message);
 
-// Returns the speeds of a digest. Cells that cannot be read are left out.
+// Returns the speeds of a digest. Cells without an endpoint are left out.
 std::vector<ObservedSpeed> decode_speeds(const proto::RoutingDigest& message);
 
 }  // namespace peridotreach
