The reducer decides which coordinator chooses the targets of moves

Cause: the choice stood in the code that sends the messages, without a test. Change: the request for a placement names the cell, that of the source's zone for moves; the link only finds its relay, or the own cell's if it knows none. Result: test 'the coordinator of the source's zone chooses the target' passes; it fails on the code before, which named the own cell (by the value, not run there).

--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -129,9 +129,13 @@
                     RequestState& request) {
   request.move.phase = MovePhase::kAwaitingTarget;
   request.move.target_requested_at = context.state.now;
+  PlacementRequirements requirements =
+      move_requirements(context.state, request);
+  // The generations that leave the engines of a zone share the links of the
+  // targets there, so the coordinator of that zone chooses all targets.
+  std::string source_zone = requirements.zone;
   context.effects.push_back(RequestPlacement{
-      request_number, move_requirements(context.state, request),
-      cell_zone(context.state, request_number)});
+      request_number, std::move(requirements), std::move(source_zone)});
 }
 
 void start_copy(const RoutingContext& context, std::uint64_t request_number,
--- a/src/peridot-router/coordination.cc
+++ b/src/peridot-router/coordination.cc
@@ -66,8 +66,8 @@
                                                    Millis now) const {
   if (!link_.topology().uses_relays)
     return placement_coordinator(link_.view(), link_.self(), service, now);
-  const std::string& zone = cell_zone.empty() ? link_.self().zone : cell_zone;
-  const std::vector<std::string> relays = relays_of(link_.topology(), zone);
+  std::vector<std::string> relays = relays_of(link_.topology(), cell_zone);
+  if (relays.empty()) relays = relays_of(link_.topology(), link_.self().zone);
   return relays.empty() ? link_.self().vm : relays.front();
 }
 
@@ -164,14 +164,8 @@
 void Coordination::request_placement(const RequestPlacement& effect,
                                      Millis now) {
   const PlacementRequirements& requirements = effect.requirements;
-  std::string coordinator =
+  const std::string coordinator =
       placement_coordinator_of(requirements.service, effect.cell_zone, now);
-  // The engines that generations leave share the links of the targets in their
-  // zone, so one process chooses all targets there.
-  const std::vector<std::string> relays =
-      requirements.is_move ? relays_of(link_.topology(), requirements.zone)
-                           : std::vector<std::string>();
-  if (!relays.empty()) coordinator = relays.front();
   if (coordinator == link_.self().vm) {
     handlers_.on_placement_requested(PlacementRequested{
         link_.self().vm, effect.request, effect.requirements, ""});
--- a/src/peridot-router/coordination.h
+++ b/src/peridot-router/coordination.h
@@ -71,7 +71,8 @@
                              const proto::PermitMessage& permits, Millis now);
 
  private:
-  // `cell_zone` is empty for the cell of this process.
+  // `cell_zone` is empty for the cell of this process, which also serves zones
+  // without a known relay.
   std::string placement_coordinator_of(const std::string& service,
                                        const std::string& cell_zone,
                                        Millis now) const;
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -337,6 +337,23 @@
   CHECK(target(2) == "e4");
 }
 
+// Routers of other zones have generations on the engines of a zone, too.
+TEST_CASE("the coordinator of the source's zone chooses the target",
+          "[moves]") {
+  RouterHarness router;
+  for (const char* id : {"e1", "e2", "e3"}) router.apply(EndpointUnlisted{id});
+  router.apply(EndpointListed{sample_endpoint("f1", "engines", "b")});
+  const auto request = router.send_request("/stream/1");
+  router.apply(StreamOpened{request, 1});
+  router.apply(StreamEventReceived{request, 1, 0});
+  router.apply(EndpointLeaving{"f1"});
+  const auto asked = effects_of<RequestPlacement>(
+      router.apply(CopyLeaseGranted{request, "f1"}));
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].requirements.is_move);
+  CHECK(asked[0].cell_zone == "b");
+}
+
 // The copies would share the target's link, so both would take twice as long.
 TEST_CASE("moves at the same moment get different targets", "[moves]") {
   RouterHarness router;
