--- a/scripts/lost_generations.py
+++ b/scripts/lost_generations.py
@@ -8,27 +8,16 @@
 
 import argparse
 import collections
-import json
 import sys
 
+from router_log import records
+
 # An endpoint that any VM saw leave within this time before a generation's end
 # had given notice of it.
 NOTICE_MS = 6000
 
 MOVE_STEPS = ("move_started", "move_failed", "move_resumed", "move_undone",
-              "move_withheld", "move_planned", "move_not_planned")
-
-
-def records(lines):
-    """Yields the JSON object of each line that has one."""
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            yield json.loads(line[start:])
-        except ValueError:
-            continue
+              "move_withheld")
 
 
 def collect(lines):
--- a/scripts/missed_objectives.py
+++ b/scripts/missed_objectives.py
@@ -8,20 +8,9 @@
 
 import argparse
 import collections
-import json
 import sys
 
-
-def records(lines):
-    """Yields the JSON object of each line that has one."""
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            yield json.loads(line[start:])
-        except ValueError:
-            continue
+from router_log import records
 
 
 def collect(lines):
