--- a/src/libperidotreach/config_change.h
+++ b/src/libperidotreach/config_change.h
@@ -33,7 +33,7 @@
   bool operator==(const ChangeMetadata&) const = default;
 };
 
-// A correction of one field. `path` is for example callers/pernik-lab/share,
+// A correction of one field. `path` is for example callers/desk-1/share,
 // ranks/urgent/floor or drained/ENGINE; `value` is the new value. `expected` is
 // the value that the operator saw; if empty, the current value is not checked.
 struct Correction {
--- a/src/libperidotreach/entry_calls.cc
+++ b/src/libperidotreach/entry_calls.cc
@@ -58,7 +58,8 @@
 
 // Returns the untried endpoint that runs the fewest calls of this process, an
 // endpoint of this zone among equals; empty if none is left. Starts at a
-// different endpoint each time, so that equal ones take turns.
+// different endpoint each time, so that equal ones are used
+// alternately.
 std::string choose_endpoint(EntryState& state, const Call& call) {
   std::string best;
   double best_cost = std::numeric_limits<double>::max();
--- a/src/libperidotreach/routing/engine_placement.cc
+++ b/src/libperidotreach/routing/engine_placement.cc
@@ -30,8 +30,9 @@
 constexpr double kMaxMemoryShareOtherCellForMoves = 0.9;
 
 // Cost of a move to another zone, where a copy takes twice as long, and of a
-// target whose link is used by another copy. Engines leave on short notice, so
-// time on the links is scarcer than room: each cost outweighs a full engine.
+// target whose link is used by another copy. Engines leave on short notice, in
+// which a copy over a link in use rarely ends, so each cost exceeds that of an
+// engine whose memory is in use.
 constexpr double kCrossZoneCopyCost = 1.2;
 constexpr double kConcurrentCopyCost = 2.0;
 
--- a/src/libperidotreach/routing/queue_wait.h
+++ b/src/libperidotreach/routing/queue_wait.h
@@ -33,8 +33,8 @@
 void record_queue_state(PlacementRate& rate, bool has_queued, Millis now);
 
 // Returns the expected wait of a queued request; none if requests have not been
-// queued for long enough to tell. A request that will be late before its turn
-// comes gets only what those in time leave.
+// queued for long enough to tell. A request that will be late before it
+// is placed gets only what those in time leave.
 std::optional<Millis> expected_wait(const PlacementRate& rate,
                                     const PlacementQueue& queue,
                                     const WaitingPlacement& waiting,
