Speeds are compared, and paces adjusted, at intervals

Each choice compared the speeds of all engines, each digest looked at the samples of all, and each tick adjusted the pace of all in every process. Change: the comparison is kept and renewed every 200 ms if speeds have changed; digests look at the endpoints that the process measures; only placement coordinators adjust paces, every 120 ms.

--- a/src/libperidotreach/routing/measured_speeds.cc
+++ b/src/libperidotreach/routing/measured_speeds.cc
@@ -22,6 +22,10 @@
 
 constexpr Millis kTokensPerMeasuredPrefill = 1000;
 
+// Interval at which the endpoints of a service are compared, as that costs time
+// for each of them. It is short beside the time over which speeds are measured.
+constexpr Millis kCompareInterval = 200;
+
 EndpointSpeed measured_speed(const EndpointState& endpoint, Millis now) {
   return {lower_quartile(endpoint.event_group_samples, kMinEventGroups, now),
           lower_quartile(endpoint.prefill_samples, kMinPrefills, now)};
@@ -29,7 +33,7 @@
 
 // Takes over what this process and its peers measure now. Without a new
 // measurement the last one holds, as endpoints keep their speed.
-void update_speed(const RoutingState& state, EndpointState& endpoint) {
+void update_speed(RoutingState& state, EndpointState& endpoint) {
   EndpointSpeed speed = measured_speed(endpoint, state.now);
   for (const auto& [peer, report] : state.peer_reports) {
     const auto found = report.speeds.find(endpoint.entry.id);
@@ -42,6 +46,7 @@
     endpoint.speed.event_group_ms = speed.event_group_ms;
   if (speed.prefill_ms != 0) endpoint.speed.prefill_ms = speed.prefill_ms;
   endpoint.speed_updated_at = state.now;
+  state.has_new_speeds = true;
 }
 
 void measure_prefill(EndpointState& endpoint, const RequestState& request,
@@ -60,10 +65,12 @@
                              const std::string& service) {
   std::uint32_t fastest = std::numeric_limits<std::uint32_t>::max();
   std::uint32_t slowest = 0;
-  for (const auto& [id, endpoint] : state.endpoints) {
-    if (endpoint.entry.service != service) continue;
+  for (const std::string& id : state.measured_endpoints) {
+    const auto found = state.endpoints.find(id);
+    if (found == state.endpoints.end()) continue;
+    if (found->second.entry.service != service) continue;
     const std::uint32_t time =
-        measured_speed(endpoint, state.now).event_group_ms;
+        measured_speed(found->second, state.now).event_group_ms;
     if (time == 0) continue;
     fastest = std::min(fastest, time);
     slowest = std::max(slowest, time);
@@ -75,6 +82,14 @@
 
 ServiceSpeeds service_speeds(const RoutingState& state,
                              const std::string& service) {
+  const auto found = state.service_speeds.find(service);
+  return found == state.service_speeds.end() ? ServiceSpeeds() : found->second;
+}
+
+namespace {
+
+ServiceSpeeds compare_endpoints(const RoutingState& state,
+                                const std::string& service) {
   std::vector<EndpointSpeed> speeds;
   for (const auto& [id, endpoint] : state.endpoints) {
     const bool counts = endpoint.entry.service == service && endpoint.listed &&
@@ -84,6 +99,25 @@
   return compare_speeds(speeds);
 }
 
+}  // namespace
+
+void compare_new_speeds(RoutingState& state) {
+  std::erase_if(state.measured_endpoints, [&](const std::string& id) {
+    const auto found = state.endpoints.find(id);
+    return found == state.endpoints.end() ||
+           !is_known(measured_speed(found->second, state.now));
+  });
+  const bool is_due = state.has_new_speeds && state.manifest &&
+                      state.now - state.speeds_compared_at >= kCompareInterval;
+  if (!is_due) return;
+  state.has_new_speeds = false;
+  state.speeds_compared_at = state.now;
+  for (const auto& [name, service] : state.manifest->services) {
+    if (service.engine)
+      state.service_speeds[name] = compare_endpoints(state, name);
+  }
+}
+
 void append_speed_fields(const RoutingState& state,
                          const EndpointState& endpoint,
                          std::vector<DecisionField>& fields) {
@@ -115,6 +149,7 @@
   EndpointState* endpoint = find_endpoint(context, request.endpoint);
   if (endpoint == nullptr) return;
   const Millis now = context.state.now;
+  context.state.measured_endpoints.insert(request.endpoint);
   if (request.event_count == 0) measure_prefill(*endpoint, request, now);
   if (request.event_group_started_at == 0) {
     request.event_group_started_at = now;
@@ -149,9 +184,11 @@
     const bool differ = service_speeds(state, name).differ ||
                         has_measured_difference(state, name);
     if (!differ) continue;
-    for (const auto& [id, endpoint] : state.endpoints) {
-      if (endpoint.entry.service != name) continue;
-      const EndpointSpeed speed = measured_speed(endpoint, state.now);
+    for (const std::string& id : state.measured_endpoints) {
+      const auto found = state.endpoints.find(id);
+      if (found == state.endpoints.end()) continue;
+      if (found->second.entry.service != name) continue;
+      const EndpointSpeed speed = measured_speed(found->second, state.now);
       if (is_known(speed)) speeds.push_back({id, speed});
     }
   }
--- a/src/libperidotreach/routing/paced_endpoints.cc
+++ b/src/libperidotreach/routing/paced_endpoints.cc
@@ -18,6 +18,15 @@
 // Transport failures after which an engine counts as one that has to recover.
 constexpr double kRecoveryFailures = 3;
 
+// Interval at which windows are adjusted: that of the reports which they
+// follow.
+constexpr Millis kAdjustInterval = 120;
+
+// Time after its last placement in which a process counts as a placement
+// coordinator. Only coordinators adjust windows; others keep those that they
+// began, in case they take over.
+constexpr Millis kCoordinatesFor = 5 * kSecond;
+
 // The rate of a service's engines is known from this many of them.
 constexpr std::size_t kMinRatedPeers = 3;
 
@@ -74,6 +83,11 @@
 
 void adjust_paces(const RoutingContext& context) {
   RoutingState& state = context.state;
+  const bool is_due = state.last_grant_at != 0 &&
+                      state.now - state.last_grant_at < kCoordinatesFor &&
+                      state.now - state.paces_adjusted_at >= kAdjustInterval;
+  if (!is_due) return;
+  state.paces_adjusted_at = state.now;
   const bool has_pace =
       state.manifest &&
       std::any_of(
--- a/src/libperidotreach/routing/placement_coordinator.cc
+++ b/src/libperidotreach/routing/placement_coordinator.cc
@@ -104,6 +104,7 @@
   RoutingState& state = context.state;
   context.effects.push_back(
       AnswerPlacement{peer, request, endpoint, forwarded_by});
+  state.last_grant_at = state.now;
   EndpointState* granted = find_endpoint(context, endpoint);
   if (granted != nullptr && !requirements.is_move)
     record_paced_grant(granted->pace, requirements.prefill_tokens, state.now);
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -415,6 +415,7 @@
       observe_limit(context, *endpoint, observed.limit, event.peer);
   }
   update_reported_speeds(context, report, event.speeds);
+  compare_new_speeds(state);
   PeerRetryReport& retry_report = state.peer_retry_reports[event.peer];
   retry_report.received_at = state.now;
   retry_report.counts_by_service.clear();
@@ -449,6 +450,7 @@
   open_lost_zones(context);
   expire_permits(context);
   adjust_paces(context);
+  compare_new_speeds(state);
   place_queued_requests(context);
   place_waiting_requests(context);
   plan_moves(context);
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -22,6 +22,7 @@
 #include "libperidotreach/routing/queue_wait.h"
 #include "libperidotreach/routing/routing_effect.h"
 #include "libperidotreach/routing/routing_event.h"
+#include "libperidotreach/routing/service_speeds.h"
 #include "libperidotreach/routing/shared_retry_budget.h"
 #include "libperidotreach/routing/speed_samples.h"
 #include "libperidotreach/time.h"
@@ -278,6 +279,17 @@
   Millis shortest_stream_slo = 0;
   ClosedZones closed_zones;
   std::map<std::string, EndpointState> endpoints;
+  // Endpoints of which this process measures the speed, how the endpoints of
+  // each service compared when that was last computed, and whether speeds have
+  // been measured or reported since.
+  std::set<std::string> measured_endpoints;
+  std::map<std::string, ServiceSpeeds> service_speeds;
+  Millis speeds_compared_at = 0;
+  bool has_new_speeds = false;
+  // When this process, as the placement coordinator, last placed a request, and
+  // when it last adjusted the pace of engines.
+  Millis last_grant_at = 0;
+  Millis paces_adjusted_at = 0;
   // When an endpoint of a service was last seen to leave.
   std::map<std::string, Millis> last_leaving_at;
   std::map<std::uint64_t, RequestState> requests;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -205,6 +205,8 @@
 void append_speed_fields(const RoutingState& state,
                          const EndpointState& endpoint,
                          std::vector<DecisionField>& fields);
+// Compares the endpoints of services anew if speeds have changed, at intervals.
+void compare_new_speeds(RoutingState& state);
 // Measures an event of a stream that has just arrived.
 void measure_event(const RoutingContext& context, RequestState& request);
 // Takes over what a peer, or a relay for several, says of endpoints' speeds.
--- a/tests/routing/endpoint_pace_test.cc
+++ b/tests/routing/endpoint_pace_test.cc
@@ -147,6 +147,35 @@
   CHECK(granted_to(router, "f1") == 1);
 }
 
+// Reports what awaits its first event at f1.
+void report_pending(RouterHarness& router, std::uint64_t tokens) {
+  PeerReportReceived report;
+  report.peer = "vm-3";
+  EndpointUsage usage;
+  usage.endpoint = "f1";
+  usage.running_requests = 1;
+  usage.pending_prefill_tokens = tokens;
+  report.endpoint_usage = {usage};
+  router.apply(report);
+  router.advance(200);
+}
+
+TEST_CASE("a started engine gets more prompts as it answers", "[pace]") {
+  RouterHarness router = cold_start_router(1000);
+  router.apply(EndpointListed{cold_engine("f1")});
+  REQUIRE(granted_to(router, "f1") == 1);
+  report_pending(router, 300);
+  SECTION("answered") {
+    report_pending(router, 0);
+    router.advance(400);
+    CHECK(granted_to(router, "f1") >= 2);
+  }
+  SECTION("not answered") {
+    router.advance(400);
+    CHECK(granted_to(router, "f1") == 0);
+  }
+}
+
 TEST_CASE("engines have no pace where the configuration names no cold start",
           "[pace]") {
   RouterHarness router = cold_start_router(0);
