--- a/review/common-2/crowds.py
+++ b/review/common-2/crowds.py
@@ -9,7 +9,8 @@
 import tempfile
 import traceback
 
-from rig import (BROKEN, HELD, MACHINE_LIMITS, NOT_RUN, Record, Rig)
+from rig import (BROKEN, HELD, MACHINE_LIMITS, NOT_RUN, Record, Rig,
+                 end_on_sigterm)
 from service import Server, call, calls_manifest
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -118,6 +119,7 @@
 def main(folder, net, count, make_request, counts_unread):
     """Plays a case. Returns the exit code of its script."""
     async def run():
+        end_on_sigterm()
         record = Record(folder)
         descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         if descriptors < MACHINE_LIMITS["max_fds"]:
--- a/review/common-2/odd_entries.py
+++ b/review/common-2/odd_entries.py
@@ -9,7 +9,8 @@
 import traceback
 
 from paged_store import VALUE_BYTES
-from rig import BROKEN, HELD, MACHINE_LIMITS, NOT_RUN, Record, Rig
+from rig import (BROKEN, HELD, MACHINE_LIMITS, NOT_RUN, Record, Rig,
+                 end_on_sigterm)
 from service import DRAIN_S, Server, call, calls_manifest
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -161,6 +162,7 @@
 def main(folder, net, routers, zones, play, *arguments):
     """Plays a case. Returns the exit code of its script."""
     async def run():
+        end_on_sigterm()
         record = Record(folder)
         with tempfile.TemporaryDirectory() as directory:
             rig = Rig(net, directory, routers, zones)
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -43,6 +43,12 @@
         return probe.getsockname()[1]
 
 
+def end_on_sigterm():
+    """Lets the case end what it started when its time is over."""
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel)
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt."""
 
