Requests of a VM cut off from endpoints go through its peers

Cause: a router took each failed connection for a failure of its endpoint. It ejected one after the other until none was left, told peers about failures that were its own, and knew no other way to an endpoint. The class: the loss of one's own path is held against what lies behind it.

Evidence: 381 rejections no_endpoint and 70 endpoints_unreachable at the five VMs, none at the three others, which reached the same endpoints.

Now connections that fail to two endpoints, with none made since, count as the loss of the path. Attempts are then made through tunnels of peers (HTTP CONNECT, the id of the endpoint as target), for first sends, retries, moves, resumed streams and control calls alike. Nothing of the request has left when a tunnel fails, so at most once holds as before. The peer admits only what it would send itself, and learns from the endpoints' heads as from its own. The path is probed at once and every 500 ms. Streams that end for the loss are not held to have crashed endpoints.

--- a/src/libperidotreach/routing/peer_view.h
+++ b/src/libperidotreach/routing/peer_view.h
@@ -23,6 +23,9 @@
   std::uint64_t incarnation = 0;
   // Thousandths of a core that the process may use.
   std::uint32_t processor_share = 0;
+  // Port on which it opens tunnels to endpoints for peers, at the address for
+  // callers; 0 if it opens none.
+  std::uint16_t tunnel_port = 0;
 
   bool operator==(const PeerRecord&) const = default;
 };
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -28,6 +28,10 @@
 // Failed connections after which a request is rejected.
 constexpr std::uint32_t kMaxConnectFailures = 4;
 
+// Tunnels that peers did not open after which a request is rejected. A peer
+// that opens none says so at once, and is not asked again for a while.
+constexpr std::uint32_t kMaxTunnelFailures = 6;
+
 // Remaining time below which another attempt is not worth sending.
 constexpr Millis kMinTimeLeft = 30;
 
@@ -172,7 +176,8 @@
 }
 
 // Records a prompt whose generation had just begun when its endpoint crashed.
-// An endpoint that was leaving ended for that reason.
+// An endpoint that was leaving ended for that reason, and a tunnel may have
+// ended with the peer that opened it.
 void observe_prompt_crash(const RoutingContext& context,
                           const RequestState& request) {
   const bool has_just_begun =
@@ -181,7 +186,8 @@
   const EndpointState* endpoint = find_endpoint(context, request.endpoint);
   const bool counts = request.route.kind == CallKind::kStream &&
                       !request.is_prompt_sound && has_just_begun &&
-                      endpoint != nullptr && endpoint->leaving_since == 0;
+                      !request.through_peer && endpoint != nullptr &&
+                      endpoint->leaving_since == 0;
   if (!counts) return;
   record_pattern_change(
       context,
@@ -218,9 +224,11 @@
                     format_hexadecimal(request.caller_request.prompt_parts)},
                    {"events", std::to_string(request.event_count)},
                    {"generated_ms", std::to_string(generated_for)}});
-  record_crash(context.state.quarantine, request.caller_request.fingerprint,
-               context.state.now);
-  observe_prompt_crash(context, request);
+  if (!may_path_have_ended(context.state, request)) {
+    record_crash(context.state.quarantine, request.caller_request.fingerprint,
+                 context.state.now);
+    observe_prompt_crash(context, request);
+  }
   if (request.relaying) {
     record_decision(
         context, "outcome", request_number,
@@ -239,17 +247,52 @@
                "endpoint_answer_broken");
 }
 
+// Sends the request to the same endpoint again: nothing of it has left, and the
+// endpoint did not cause that.
+void repeat_attempt(const RoutingContext& context, std::uint64_t request_number,
+                    RequestState& request) {
+  request.sent_attempts -= 1;
+  start_attempt(context, request_number, request, std::string(request.endpoint),
+                KvCacheSource(request.kv_cache_source));
+}
+
+// Records what a failed connection says about the endpoint. Returns whether the
+// attempt may be repeated there, by another way.
+bool observe_connect_failure(const RoutingContext& context,
+                             RequestState& request, const AttemptEnded& event) {
+  if (!request.through_peer) {
+    on_endpoint_unreachable(context, request.endpoint);
+    return sends_through_peers(context.state);
+  }
+  switch (event.connect_failure) {
+    case ConnectFailure::kEndpointUnreachable:
+      eject_unreachable(context, request.endpoint);
+      return false;
+    case ConnectFailure::kNoTunnel:
+      request.tunnel_failures += 1;
+      return request.tunnel_failures < kMaxTunnelFailures;
+    case ConnectFailure::kDeclinedByPeer:
+      if (EndpointState* endpoint = find_endpoint(context, request.endpoint)) {
+        endpoint->declined_until = std::max(
+            endpoint->declined_until, context.state.now + event.declined_for);
+      }
+      return false;
+  }
+  return false;
+}
+
 void on_connect_failed(const RoutingContext& context,
-                       std::uint64_t request_number, RequestState& request) {
-  EndpointState* endpoint = find_endpoint(context, request.endpoint);
-  if (endpoint != nullptr) {
-    const bool was_cold = cold_rate(context.state, *endpoint).has_value();
-    record_connect_failure(*endpoint, context.state.now);
-    record_if_cold(context, *endpoint, was_cold, "connection failed");
-    record_decision(context, "endpoint_ejected", request_number,
-                    {{"endpoint", request.endpoint},
-                     {"cause", "connection failed"},
-                     {"until_ms", std::to_string(endpoint->ejected_until)}});
+                       std::uint64_t request_number, RequestState& request,
+                       const AttemptEnded& event) {
+  const bool may_repeat = observe_connect_failure(context, request, event);
+  const EndpointState* endpoint = find_endpoint(context, request.endpoint);
+  const bool is_usable =
+      endpoint != nullptr &&
+      (request.relaying ? may_continue_generations(*endpoint, context.state.now)
+                        : accepts_new_requests(*endpoint, context.state.now));
+  if (may_repeat && is_usable && !is_overdue(context.state, request)) {
+    repeat_attempt(context, request_number, request);
+    return;
   }
   if (request.relaying) {
     if (!return_to_previous_endpoint(context, request_number, request))
@@ -259,6 +302,7 @@
   request.sent_attempts -= 1;
   request.connect_failures += 1;
   if (request.connect_failures >= kMaxConnectFailures ||
+      request.tunnel_failures >= kMaxTunnelFailures ||
       is_overdue(context.state, request)) {
     reject_request(context, request_number, random_retry_after(context.state),
                    "endpoints_unreachable");
@@ -338,6 +382,9 @@
     endpoint->leaving_since = context.state.now;
     return;
   }
+  if (event.outcome == AttemptOutcome::kBroken &&
+      may_path_have_ended(context.state, request))
+    return;
   const bool failed = event.outcome == AttemptOutcome::kBroken ||
                       event.status >= kFirstServerError;
   record_answer(*endpoint, failed, context.state.now);
@@ -495,6 +542,8 @@
   attempt.time_left = request.deadline - state.now;
   attempt.urgency = std::min(request.rank, kLowestUrgency);
   attempt.is_stream = request.route.kind == CallKind::kStream;
+  request.through_peer = attempt.through_peer = sends_through_peers(state);
+  request.kv_cache_source = source;
   attempt.source = std::move(source);
   std::vector<DecisionField> fields = {
       {"id", request.caller_request.id},
@@ -510,6 +559,7 @@
       {"endpoint_running", std::to_string(target.own_usage.running_requests +
                                           target.peer_usage.running_requests)},
       {"time_left_ms", std::to_string(attempt.time_left)}};
+  if (attempt.through_peer) fields.push_back({"path", "peer"});
   if (attempt.is_stream) append_speed_fields(state, target, fields);
   record_decision(context, "placed", request_number, std::move(fields));
   context.effects.push_back(std::move(attempt));
@@ -627,7 +677,7 @@
   record_attempt_outcome(context, *request, event);
   switch (event.outcome) {
     case AttemptOutcome::kNotSent:
-      on_connect_failed(context, event.request, *request);
+      on_connect_failed(context, event.request, *request, event);
       return;
     case AttemptOutcome::kNotRun:
     case AttemptOutcome::kMisdirected:
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -39,6 +39,8 @@
   bool is_stream = false;
   // The KV cache to continue from; used only if `source.handle` is not empty.
   KvCacheSource source;
+  // The request is sent through a peer, as this process reaches no endpoint.
+  bool through_peer = false;
 };
 
 // Closes the connection of an attempt, which makes the endpoint stop.
@@ -170,6 +172,13 @@
   std::string handle;
 };
 
+// Connects to an endpoint and closes the connection, to learn whether this
+// process reaches endpoints again.
+struct ProbeEndpointPath {
+  std::string address;
+  std::uint16_t port = 0;
+};
+
 // One field of a recorded decision.
 struct DecisionField {
   std::string name;
@@ -189,6 +198,6 @@
                  RequestCopyLease, ReleaseCopyLease, RequestPlacement,
                  AnswerPlacement, ForwardPlacement, RequestPermits,
                  AnswerPermits, AnnounceEndpointLeaving, FreeCopy,
-                 RecordDecision>;
+                 ProbeEndpointPath, RecordDecision>;
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -124,6 +124,17 @@
   kBroken,
 };
 
+// Why an attempt was not sent.
+enum class ConnectFailure {
+  // No connection to the endpoint could be made, from this process or from the
+  // peer that was to pass the request on.
+  kEndpointUnreachable,
+  // No peer opened a tunnel to the endpoint.
+  kNoTunnel,
+  // The peer sends nothing to the endpoint.
+  kDeclinedByPeer,
+};
+
 // What an endpoint says of itself in the head of a response.
 struct EndpointNotice {
   // Requests per second that it takes from all processes together; none if it
@@ -142,8 +153,19 @@
 struct EndpointAnswered {
   std::string endpoint;
   EndpointNotice notice;
+  // When this process connected to it; 0 if a peer did.
+  Millis connected_at = 0;
+};
+
+// A connection to an endpoint that this process opened for a peer failed.
+struct EndpointUnreachable {
+  std::string endpoint;
 };
 
+// A connection to an endpoint that was opened to probe the path to endpoints
+// was made.
+struct EndpointPathProbed {};
+
 struct AttemptEnded {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;
@@ -152,6 +174,10 @@
   // How the response ended. Decides whether the outcomes kCompleteResponse and
   // kStreamEnded hold; any other response is broken.
   ResponseEnd end;
+  // Why the outcome is kNotSent, and how long the peer sends nothing to the
+  // endpoint if it is for that.
+  ConnectFailure connect_failure = ConnectFailure::kEndpointUnreachable;
+  Millis declined_for = 0;
 };
 
 // The response head of a stream arrived; events follow.
@@ -352,6 +378,7 @@
   std::uint64_t random = 0;
   std::variant<ManifestReceived, ZoneClosed, ZoneOpened, EndpointListed,
                EndpointUnlisted, EndpointLeaving, EndpointAnswered,
+               EndpointUnreachable, EndpointPathProbed,
                StoreReachabilityChanged, StoreEraSeen, RetryLimitsChanged,
                RequestArrived, CallerDisconnected, AttemptEnded, StreamOpened,
                StreamEventReceived, CopyFinished, CopyLeaseGranted,
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -252,12 +252,21 @@
 }
 
 void apply(const RoutingContext& context, const EndpointAnswered& event) {
+  on_connected(context, event.connected_at);
   on_endpoint_answered(context, event);
   if (!event.notice.is_leaving) return;
   if (announce_leaving(context, event.endpoint))
     context.effects.push_back(AnnounceEndpointLeaving{event.endpoint});
 }
 
+void apply(const RoutingContext& context, const EndpointUnreachable& event) {
+  on_endpoint_unreachable(context, event.endpoint);
+}
+
+void apply(const RoutingContext& context, const EndpointPathProbed&) {
+  on_connected(context, context.state.now);
+}
+
 void apply(const RoutingContext& context,
            const StoreReachabilityChanged& event) {
   RoutingState& state = context.state;
@@ -448,6 +457,7 @@
   end_requests_at_stop(context);
   drop_missing_endpoints(context);
   open_lost_zones(context);
+  probe_endpoint_path(context);
   expire_permits(context);
   adjust_paces(context);
   compare_new_speeds(state);
--- a/src/libperidotreach/routing/routing_reducer.h
+++ b/src/libperidotreach/routing/routing_reducer.h
@@ -24,6 +24,10 @@
 // Applies one event.
 RoutingStep reduce(RoutingState state, const RoutingEvent& event);
 
+// Returns whether requests are sent to endpoints through peers, as this process
+// reaches no endpoint itself.
+bool sends_through_peers(const RoutingState& state);
+
 // Returns the limits of endpoints to report to peers.
 std::vector<ObservedLimit> reported_limits(const RoutingState& state);
 
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -15,6 +15,7 @@
 #include "libperidotreach/routing/cold_phase.h"
 #include "libperidotreach/routing/endpoint_limit.h"
 #include "libperidotreach/routing/endpoint_pace.h"
+#include "libperidotreach/routing/endpoint_path.h"
 #include "libperidotreach/routing/manifest.h"
 #include "libperidotreach/routing/placement_queue.h"
 #include "libperidotreach/routing/planned_stop.h"
@@ -164,7 +165,13 @@
   // Attempts of which a byte may have reached an endpoint.
   std::uint32_t sent_attempts = 0;
   std::uint32_t connect_failures = 0;
+  // Attempts for which no peer opened a tunnel.
+  std::uint32_t tunnel_failures = 0;
   std::string endpoint;
+  // The current attempt was sent through a peer, and the KV cache that it
+  // continues from.
+  bool through_peer = false;
+  KvCacheSource kv_cache_source;
   // The endpoint may have been ordered to stop the generation.
   bool stop_ordered = false;
   std::uint64_t projected_tokens = 0;
@@ -278,6 +285,7 @@
   // has none.
   Millis shortest_stream_slo = 0;
   ClosedZones closed_zones;
+  EndpointPath endpoint_path;
   std::map<std::string, EndpointState> endpoints;
   // Endpoints of which this process measures the speed, how the endpoints of
   // each service compared when that was last computed, and whether speeds have
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -9,6 +9,7 @@
 
 #include "libperidotreach/routing/endpoint_choice.h"
 #include "libperidotreach/routing/routing_effect.h"
+#include "libperidotreach/routing/routing_reducer.h"
 #include "libperidotreach/routing/routing_state.h"
 #include "libperidotreach/routing/service_speeds.h"
 
@@ -119,6 +120,22 @@
 // Gives each request its outcome when the time of the stop is over.
 void end_requests_at_stop(const RoutingContext& context);
 
+// Loss of the path to all endpoints (unreached_endpoints.cc).
+// Records that this process could not connect to an endpoint: that the path is
+// lost, or that the endpoint fails.
+void on_endpoint_unreachable(const RoutingContext& context,
+                             const std::string& id);
+// Records that this process has connected to an endpoint at `connected_at`.
+void on_connected(const RoutingContext& context, Millis connected_at);
+// Ejects an endpoint to which a connection failed, for a while.
+void eject_unreachable(const RoutingContext& context, const std::string& id);
+// Returns whether the request's attempt may have ended as this process lost the
+// path to endpoints, which says nothing about the endpoint or the request.
+bool may_path_have_ended(const RoutingState& state,
+                         const RequestState& request);
+// Probes the path while it is lost.
+void probe_endpoint_path(const RoutingContext& context);
+
 // Placement on engines at the process that has the request
 // (engine_placement.cc).
 void on_placement_answered(const RoutingContext& context,
--- a/src/peridot-router/digest_codec.cc
+++ b/src/peridot-router/digest_codec.cc
@@ -20,11 +20,17 @@
   cell.set_callers(record.caller_address);
   cell.set_incarnation(record.incarnation);
   cell.set_processor_share(record.processor_share);
+  cell.set_tunnel_port(record.tunnel_port);
 }
 
 PeerRecord decode_record(const proto::PeerCell& cell) {
-  return {cell.vm(),      cell.zone(),        cell.link(),
-          cell.callers(), cell.incarnation(), cell.processor_share()};
+  return {cell.vm(),
+          cell.zone(),
+          cell.link(),
+          cell.callers(),
+          cell.incarnation(),
+          cell.processor_share(),
+          static_cast<std::uint16_t>(cell.tunnel_port())};
 }
 
 void encode_member(const ZoneMember& member, proto::PeerCell& cell) {
--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "libperidotreach/routing/response_memory.h"
+#include "peridot-router/endpoint_tunnel.h"
 #include "peridot-router/event_framer.h"
 #include "runtime/clock.h"
 
@@ -117,15 +118,35 @@
   }
 }
 
+// Connects to the endpoint, directly or through a peer. Returns whether the
+// request can be sent; `ended` tells why not.
+awaitable<bool> connect(EndpointAttempt& attempt, AttemptEnded& ended) {
+  const StartAttempt& params = attempt.params;
+  if (!params.through_peer) {
+    const HttpTarget target{params.address, params.port};
+    co_return co_await attempt.connection.connect(target, kConnectTimeout);
+  }
+  ended.connect_failure = ConnectFailure::kNoTunnel;
+  if (!attempt.tunnel_peer) co_return false;
+  const TunnelRequest request{params.endpoint, !params.source.handle.empty()};
+  const TunnelResult result =
+      co_await open_tunnel(attempt.connection, *attempt.tunnel_peer, request);
+  ended.connect_failure = result.failure;
+  ended.declined_for = result.declined_for;
+  const bool is_refused =
+      !result.is_open && result.failure == ConnectFailure::kNoTunnel;
+  if (is_refused) attempt.on_no_tunnel();
+  co_return result.is_open;
+}
+
 awaitable<AttemptEnded> run(EndpointAttempt& attempt, RequestExchange& exchange,
                             const WireFormat& format,
                             const PostRoutingEvent& post) {
   HttpConnection& connection = attempt.connection;
   const StartAttempt& params = attempt.params;
-  const HttpTarget target{params.address, params.port};
-  if (!co_await connection.connect(target, kConnectTimeout)) {
-    co_return make_ended(attempt, AttemptOutcome::kNotSent);
-  }
+  AttemptEnded not_sent = make_ended(attempt, AttemptOutcome::kNotSent);
+  if (!co_await connect(attempt, not_sent)) co_return not_sent;
+  const Millis connected_at = params.through_peer ? 0 : monotonic_now();
   ClientRequest request = format.endpoint_request(exchange.request(), params);
   // An endpoint may answer, and close the connection, before it has read the
   // whole request, so the response is read even if the request was not sent.
@@ -139,14 +160,11 @@
   const ResponseInfo info = format.decode_response_head(headers);
   const AttemptOutcome head_outcome =
       check_response_head(info, exchange.id(), status);
-  const bool is_from_endpoint =
-      head_outcome == AttemptOutcome::kCompleteResponse ||
-      head_outcome == AttemptOutcome::kNotRun;
-  if (is_from_endpoint) {
-    EndpointNotice notice = info.notice;
-    if (status != kUnavailableStatus) notice.retry_after = 0;
-    post(EndpointAnswered{params.endpoint, notice});
-  }
+  const auto notice = endpoint_notice(info, status);
+  const bool is_own = head_outcome == AttemptOutcome::kCompleteResponse ||
+                      head_outcome == AttemptOutcome::kNotRun;
+  if (is_own && notice)
+    post(EndpointAnswered{params.endpoint, *notice, connected_at});
   if (head_outcome != AttemptOutcome::kCompleteResponse)
     co_return make_ended(attempt, head_outcome, status);
   attempt.response.status = status;
@@ -160,6 +178,16 @@
 
 }  // namespace
 
+std::optional<EndpointNotice> endpoint_notice(const ResponseInfo& info,
+                                              unsigned status) {
+  const bool is_own =
+      info.not_run || (info.has_stamp && !info.has_content_encoding);
+  if (!is_own || status == kMisdirectedStatus) return std::nullopt;
+  EndpointNotice notice = info.notice;
+  if (status != kUnavailableStatus) notice.retry_after = 0;
+  return notice;
+}
+
 awaitable<void> run_attempt(std::shared_ptr<EndpointAttempt> attempt,
                             std::shared_ptr<RequestExchange> exchange,
                             const WireFormat& format, PostRoutingEvent post) {
--- a/src/peridot-router/endpoint_attempt.h
+++ b/src/peridot-router/endpoint_attempt.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "libperidotreach/routing/routing_event.h"
 #include "peridot-router/request_exchange.h"
@@ -19,6 +20,11 @@
 
   StartAttempt params;
   HttpConnection connection;
+  // The peer through which the request is sent; none if it is sent directly, or
+  // if there is no such peer.
+  std::optional<HttpTarget> tunnel_peer;
+  // Called if that peer opens no tunnel.
+  std::function<void()> on_no_tunnel;
   // Set before the router closes the connection itself.
   bool cancelled = false;
   // The whole request was sent.
@@ -31,6 +37,11 @@
   std::function<void()> on_caller_stalled;
 };
 
+// Returns what the endpoint says of itself in the head of a response, none if
+// the response is not its own.
+std::optional<EndpointNotice> endpoint_notice(const ResponseInfo& info,
+                                              unsigned status);
+
 // Passes an event to the reducer.
 using PostRoutingEvent = std::function<void(decltype(RoutingEvent::body))>;
 
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -25,10 +25,6 @@
 // Time for an endpoint to free a copy.
 constexpr Millis kFreeCopyTimeout = kSecond;
 
-// Largest response of an endpoint to a control call, such as a copy or a
-// report.
-constexpr std::size_t kMaxControlBytes = 256U << 10U;
-
 constexpr unsigned kUnavailableStatus = 503;
 
 constexpr std::size_t kMaxQueryBodyBytes = 4U << 10U;
@@ -67,7 +63,8 @@
           format_host_port(settings.link_listen),
           format_host_port(settings.caller_listen),
           incarnation,
-          settings.processor_share};
+          settings.processor_share,
+          settings.tunnel_port};
 }
 
 RoutingConfig routing_config_of(const RouterSettings& settings) {
@@ -94,7 +91,8 @@
                    post(StoreReachabilityChanged{is_reachable});
                  },
                  [this](std::uint64_t era) { see_store_era(era); },
-                 coordination_handlers(), table_handlers()}) {
+                 coordination_handlers(), table_handlers()}),
+      tunnels_(io, tunnel_handlers()) {
   update_memory_shares();
 }
 
@@ -145,6 +143,11 @@
         return serve_readiness_and_metrics(exchange);
       });
   if (!ok(readiness)) return readiness;
+  if (settings_.tunnel_port != 0) {
+    auto tunnels = tunnels_.start(
+        {settings_.caller_listen.address, settings_.tunnel_port});
+    if (!ok(tunnels)) return tunnels;
+  }
   co_spawn(io_, run_timer(), asio::detached);
   return readiness;
 }
@@ -248,8 +251,8 @@
   for (int answers = 1; result == PollResult::kAskAgain; ++answers) {
     if (answers > 1) co_await sleep_for(kRepeatedPollDelay);
     ClientRequest request = wire_format_.report_request();
-    const ClientResponse response = co_await fetch_response(
-        io_, target, std::move(request), kReportTimeout, kMaxControlBytes);
+    const ClientResponse response =
+        co_await call_endpoint(target, std::move(request), kReportTimeout);
     if (!response.complete) co_return;
     const PollAnswer answer{wire_format_.decode_report(response.body).leaving,
                             response.closes_connection};
@@ -329,7 +332,7 @@
 }
 
 bool RouterNode::has_open_requests() const {
-  if (!exchanges_.empty()) return true;
+  if (!exchanges_.empty() || tunnels_.open_tunnels() > 0) return true;
   return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& weak) {
     const auto session = weak.lock();
     return session != nullptr && session->has_open_request();
@@ -391,6 +394,10 @@
                            })));
     metrics_.set_gauge("peers",
                        static_cast<double>(peers_.view().peers.size()));
+    metrics_.set_gauge("endpoint_path_lost",
+                       state_.endpoint_path.lost_since != 0 ? 1 : 0);
+    metrics_.set_gauge("open_tunnels",
+                       static_cast<double>(tunnels_.open_tunnels()));
     metrics_.set_gauge("notice_polls", is_polling_ ? 1 : 0);
     metrics_.set_gauge(
         "manifest_version",
@@ -774,6 +781,7 @@
     hold_response_bytes(key.first, bytes);
   };
   attempt->on_caller_stalled = [this, key] { give_up_caller(key.first); };
+  if (attempt->params.through_peer) choose_tunnel_peer(*attempt);
   attempts_[key] = attempt;
   const auto ended = [this, key](const std::exception_ptr&) {
     attempts_.erase(key);
@@ -877,8 +885,8 @@
                                             std::string id) {
   ClientRequest request = wire_format_.copy_request(effect, id);
   const HttpTarget target{effect.address, effect.port};
-  const ClientResponse answer = co_await fetch_response(
-      io_, target, std::move(request), kCopyTimeout, kMaxControlBytes);
+  const ClientResponse answer =
+      co_await call_endpoint(target, std::move(request), kCopyTimeout);
   CopyFinished event;
   event.request = effect.request;
   if (answer.complete) {
@@ -930,8 +938,7 @@
 awaitable<void> RouterNode::free_copy(FreeCopy effect) {
   ClientRequest request = wire_format_.free_copy_request(effect);
   const HttpTarget target{effect.address, effect.port};
-  co_await fetch_response(io_, target, std::move(request), kFreeCopyTimeout,
-                          kMaxControlBytes);
+  co_await call_endpoint(target, std::move(request), kFreeCopyTimeout);
 }
 
 void RouterNode::perform(const RecordDecision& effect) {
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -20,6 +20,7 @@
 #include "peridot-router/router_metrics.h"
 #include "peridot-router/router_settings.h"
 #include "peridot-router/shared_table.h"
+#include "peridot-router/tunnel_server.h"
 #include "peridot-router/wire_format.h"
 #include "runtime/http_server.h"
 
@@ -152,6 +153,7 @@
   void perform(const AnswerPermits& effect);
   void perform(const AnnounceEndpointLeaving& effect);
   void perform(const FreeCopy& effect);
+  void perform(const ProbeEndpointPath& effect);
   void perform(const RecordDecision& effect);
 
   std::shared_ptr<RequestExchange> find_exchange(std::uint64_t request) const;
@@ -180,6 +182,16 @@
              const std::string& held, const std::string* incoming);
   void on_item_changed(const std::string& table, const std::string& key,
                        const std::string* value, const std::string& source);
+  // Sends a control call to the endpoint at an address, through a peer while
+  // this process reaches no endpoint.
+  awaitable<ClientResponse> call_endpoint(HttpTarget target,
+                                          ClientRequest request,
+                                          Millis timeout);
+  // Returns a peer that opens tunnels, none if there is none.
+  std::optional<PeerRecord> choose_tunnel_peer() const;
+  void choose_tunnel_peer(EndpointAttempt& attempt);
+  TunnelHandlers tunnel_handlers();
+  awaitable<void> probe_endpoint_path(HttpTarget target);
   awaitable<void> copy_generation(CopyGeneration effect, std::string id);
   awaitable<void> free_copy(FreeCopy effect);
   awaitable<void> accept_callers();
@@ -214,6 +226,8 @@
   std::optional<Manifest> decoded_manifest_;
   PeerExchange peers_;
   RouterMetrics metrics_;
+  TunnelServer tunnels_;
+  UnavailableTunnelPeers unavailable_tunnel_peers_;
   std::map<std::uint64_t, std::shared_ptr<RequestExchange>> exchanges_;
   std::map<AttemptKey, std::shared_ptr<EndpointAttempt>> attempts_;
   MemoryAccount memory_;
--- a/src/peridot-router/router_settings.h
+++ b/src/peridot-router/router_settings.h
@@ -23,6 +23,9 @@
   HttpTarget readiness_listen;
   HttpTarget directory_listen;
   HttpTarget link_listen;
+  // Port, at the address for callers, on which tunnels to endpoints are opened
+  // for peers; 0 if none are.
+  std::uint16_t tunnel_port = 0;
   // Addresses of peers for use while the store is unreachable.
   std::vector<HttpTarget> seeds;
   RetryBudgetLimits retry_limits;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -1,8 +1,5 @@
 #include "runtime/http_client.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <chrono>
@@ -10,9 +7,9 @@
 #include <utility>
 
 #include "runtime/clock.h"
+#include "runtime/dead_peer.h"
 #include "runtime/http_framing.h"
 #include "runtime/http_header.h"
-#include "runtime/log.h"
 #include "runtime/socket_state.h"
 
 namespace peridotreach {
@@ -23,34 +20,6 @@
 // HTTP/1.1 as Boost.Beast encodes it.
 constexpr unsigned kHttpVersion = 11;
 
-// TCP keep-alive probes: an idle connection to an unreachable peer fails after
-// about four seconds.
-constexpr int kKeepAliveIdleSeconds = 2;
-constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
-
-// A connection whose sent data stays unacknowledged for this long is closed.
-constexpr unsigned kUnacknowledgedTimeoutMs = 4000;
-
-template <class Value>
-void set_tcp_option(tcp::socket& socket, int option, Value value) {
-  const int result = setsockopt(socket.native_handle(), IPPROTO_TCP, option,
-                                &value, sizeof value);
-  if (result != 0) {
-    log(LogLevel::kDebug, "cannot set TCP socket option",
-        {{"option", std::to_string(option)}});
-  }
-}
-
-void enable_dead_peer_detection(tcp::socket& socket) {
-  error_code ignored;
-  socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  set_tcp_option(socket, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-  set_tcp_option(socket, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  set_tcp_option(socket, TCP_KEEPCNT, kKeepAliveProbes);
-  set_tcp_option(socket, TCP_USER_TIMEOUT, kUnacknowledgedTimeoutMs);
-}
-
 auto to_duration(Millis timeout) { return std::chrono::milliseconds(timeout); }
 
 }  // namespace
@@ -153,14 +122,13 @@
 
 void HttpConnection::close() { stream_.close(); }
 
-awaitable<ClientResponse> fetch_response(asio::io_context& io,
-                                         HttpTarget target,
-                                         ClientRequest request, Millis timeout,
-                                         std::size_t max_bytes) {
+namespace {
+
+// Sends a request and reads the response until `deadline`.
+awaitable<ClientResponse> exchange(HttpConnection& connection,
+                                   ClientRequest request, Millis timeout,
+                                   Millis deadline, std::size_t max_bytes) {
   ClientResponse answer;
-  HttpConnection connection(io);
-  const Millis deadline = monotonic_now() + timeout;
-  if (!co_await connection.connect(target, timeout)) co_return answer;
   const bool fully_sent = co_await connection.send(std::move(request), timeout);
   answer.request_started = connection.request_started();
   if (!fully_sent) co_return answer;
@@ -184,6 +152,28 @@
   co_return answer;
 }
 
+}  // namespace
+
+awaitable<ClientResponse> fetch_on(HttpConnection& connection,
+                                   ClientRequest request, Millis timeout,
+                                   std::size_t max_bytes) {
+  const Millis deadline = monotonic_now() + timeout;
+  co_return co_await exchange(connection, std::move(request), timeout, deadline,
+                              max_bytes);
+}
+
+awaitable<ClientResponse> fetch_response(asio::io_context& io,
+                                         HttpTarget target,
+                                         ClientRequest request, Millis timeout,
+                                         std::size_t max_bytes) {
+  HttpConnection connection(io);
+  const Millis deadline = monotonic_now() + timeout;
+  if (!co_await connection.connect(std::move(target), timeout))
+    co_return ClientResponse();
+  co_return co_await exchange(connection, std::move(request), timeout, deadline,
+                              max_bytes);
+}
+
 std::string format_host_port(const HttpTarget& target) {
   return target.address + ":" + std::to_string(target.port);
 }
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -125,6 +125,12 @@
 // Largest response body that is read as a whole.
 inline constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 
+// Sends a request on an open connection and reads the complete response, of at
+// most `max_bytes`, within `timeout` each.
+awaitable<ClientResponse> fetch_on(HttpConnection& connection,
+                                   ClientRequest request, Millis timeout,
+                                   std::size_t max_bytes = kMaxResponseBytes);
+
 // Sends a request on a new connection and reads the complete response, of at
 // most `max_bytes`. Connecting and sending may take up to `timeout` each;
 // reading ends `timeout` after the start.
--- a/tests/routing/routing_property_test.cc
+++ b/tests/routing/routing_property_test.cc
@@ -142,8 +142,14 @@
                      outcome == AttemptOutcome::kStreamEnded;
     if (!ran) observation.may_have_run -= 1;
     observation.open.erase(attempt);
-    apply(AttemptEnded{request, attempt, outcome,
-                       random_below(2) == 0 ? 200U : 500U});
+    AttemptEnded ended{request, attempt, outcome,
+                       random_below(2) == 0 ? 200U : 500U};
+    const ConnectFailure failures[] = {ConnectFailure::kEndpointUnreachable,
+                                       ConnectFailure::kNoTunnel,
+                                       ConnectFailure::kDeclinedByPeer};
+    ended.connect_failure = failures[random_below(3)];
+    ended.declined_for = static_cast<Millis>(random_below(400));
+    apply(ended);
   }
 
   void stream_event() {
@@ -194,7 +200,13 @@
   // Applies an update from the store, an endpoint or a peer.
   void receive_update() {
     const char* const ids[] = {"e1", "e2", "e3", "p1", "none"};
-    switch (random_below(6)) {
+    switch (random_below(8)) {
+      case 6:
+        apply(EndpointPathProbed{});
+        return;
+      case 7:
+        apply(EndpointUnreachable{ids[random_below(5)]});
+        return;
       case 0:
         apply(StoreReachabilityChanged{random_below(2) == 0});
         return;
@@ -307,6 +319,11 @@
     }
   }
 
+  void check_effect(const ProbeEndpointPath& effect) {
+    CHECK(router_.state.endpoint_path.lost_since != 0);
+    CHECK(effect.port != 0);
+  }
+
   void check_effect(const StartAttempt& effect) {
     RequestObservation& observation = observations_[effect.request];
     CHECK(observation.outcomes == 0);
