--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -137,6 +137,15 @@
   REQUIRE(ok(decoded));
   CHECK(value(decoded).router.vm == "front-a-1");
   CHECK(value(decoded).router.link_listen.port == 3);
+  CHECK(value(decoded).router.tunnel_port == 0);
+  const auto with_ports = [](const std::string& range) {
+    std::string text = kSettings;
+    text.insert(text.find('{') + 1, "\"port_range\":" + range + ",");
+    return value(decode_settings(text)).router.tunnel_port;
+  };
+  CHECK(with_ports("[7200,7215]") == 7200);
+  CHECK(with_ports("[70000]") == 0);
+  CHECK(with_ports("[\"7200\"]") == 0);
   CHECK(value(decoded).router.seeds.size() == 1);
   CHECK(value(decoded).router.stop_grace == 8000);
   CHECK(value(decoded).router.retry_limits.slack == 52);
