--- a/tests/routing/limit_simulation.cc
+++ b/tests/routing/limit_simulation.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr Millis kLinkDelay = 2;
-constexpr Millis kServiceTime = 30;
+// How long an endpoint that has failed is gone.
+constexpr Millis kFailureTime = 3 * kSecond;
 constexpr Millis kStep = 5;
 constexpr Millis kTickInterval = 40;
 constexpr Millis kReportInterval = 200;
@@ -172,14 +173,84 @@
                                     const StartAttempt& attempt) {
   arrivals_.push_back(
       {now_, process.vm, attempt.endpoint, counts(process, attempt.endpoint)});
-  later(kServiceTime, process, [this, &process, attempt] {
+  const auto end = [this, &process, attempt](AttemptOutcome outcome,
+                                             unsigned status, Millis delay) {
+    later(delay, process, [this, &process, attempt, outcome, status] {
+      finish(process, attempt, outcome, status);
+    });
+  };
+  if (!capacity_) {
+    end(AttemptOutcome::kCompleteResponse, 200, service_time_);
+    return;
+  }
+  BoundedEndpoint& endpoint = bounded_[attempt.endpoint];
+  const std::uint64_t start = endpoint.start;
+  const auto end_call = [&endpoint, start, end] {
+    const bool has_failed = endpoint.start != start;
+    end(has_failed ? AttemptOutcome::kBroken
+                   : AttemptOutcome::kCompleteResponse,
+        has_failed ? 0 : 200, kLinkDelay);
+  };
+  if (now_ < endpoint.fails_until) {
+    end(AttemptOutcome::kNotSent, 0, kLinkDelay);
+  } else if (endpoint.running < capacity_->slots) {
+    run_call(attempt.endpoint, end_call);
+  } else if (endpoint.waiting.size() < capacity_->waiting) {
+    endpoint.waiting.push_back(end_call);
+  } else {
+    reject_call(attempt.endpoint);
+    end(AttemptOutcome::kNotRun, 503, kLinkDelay);
+  }
+}
+
+void LimitSimulation::run_call(const std::string& id,
+                               std::function<void()> end_call) {
+  BoundedEndpoint& endpoint = bounded_[id];
+  endpoint.running += 1;
+  const std::uint64_t start = endpoint.start;
+  const auto end = [this, id, start, end_call = std::move(end_call)] {
+    end_call();
+    BoundedEndpoint& ended = bounded_[id];
+    if (ended.start != start) return;
+    ended.running -= 1;
+    if (ended.waiting.empty()) return;
+    std::function<void()> next = std::move(ended.waiting.front());
+    ended.waiting.pop_front();
+    run_call(id, std::move(next));
+  };
+  scheduled_.emplace(now_ + service_time_, end);
+}
+
+void LimitSimulation::reject_call(const std::string& id) {
+  BoundedEndpoint& endpoint = bounded_[id];
+  std::deque<Millis>& rejected_at = endpoint.rejected_at;
+  rejected_at.push_back(now_);
+  while (now_ - rejected_at.front() >= kSecond) rejected_at.pop_front();
+  if (rejected_at.size() <= capacity_->max_rejections) return;
+  failures_ += 1;
+  endpoint.start += 1;
+  endpoint.running = 0;
+  rejected_at.clear();
+  endpoint.fails_until = now_ + kFailureTime;
+  for (const auto& end_call : std::exchange(endpoint.waiting, {})) end_call();
+}
+
+void LimitSimulation::finish(Process& process, const StartAttempt& attempt,
+                             AttemptOutcome outcome, unsigned status) {
+  if (status != 0) {
     process.told_at.try_emplace(attempt.endpoint, now_);
     EndpointNotice notice;
     notice.requests_per_second = rate_;
     apply(process, EndpointAnswered{attempt.endpoint, notice});
-    apply(process, AttemptEnded{attempt.request, attempt.attempt,
-                                AttemptOutcome::kCompleteResponse, 200});
-  });
+  }
+  apply(process,
+        AttemptEnded{attempt.request, attempt.attempt, outcome, status});
+}
+
+void LimitSimulation::bound_capacity(SimulatedCapacity capacity,
+                                     Millis service_time) {
+  capacity_ = capacity;
+  service_time_ = service_time;
 }
 
 void LimitSimulation::perform(Process& process, const RoutingEffect& effect) {
--- a/tests/routing/limit_simulation.h
+++ b/tests/routing/limit_simulation.h
@@ -35,6 +35,14 @@
   Millis longest_wait_of_rejected = 0;
 };
 
+// How many calls an endpoint runs at once and lets wait, and the calls a second
+// that it may reject for want of capacity before it fails for some seconds.
+struct SimulatedCapacity {
+  std::size_t slots = 0;
+  std::size_t waiting = 0;
+  std::size_t max_rejections = 0;
+};
+
 class LimitSimulation {
  public:
   // Each endpoint takes `requests_per_second` and names that as its limit if
@@ -55,6 +63,12 @@
   void resume(std::size_t vm);
   void restart(std::size_t vm);
 
+  // From now on, endpoints run calls for `service_time` each within `capacity`.
+  void bound_capacity(SimulatedCapacity capacity, Millis service_time);
+
+  // Returns how often endpoints have failed for rejecting too much.
+  std::size_t failures() const { return failures_; }
+
   // Every process learns that the endpoint stays cold for `remaining`.
   void list_cold(std::size_t endpoint, Millis remaining);
 
@@ -102,11 +116,29 @@
   void request_permits(Process& process, const RequestPermits& effect);
   void answer_permits(Process& process, const AnswerPermits& effect);
   void start_attempt(Process& process, const StartAttempt& attempt);
+  void run_call(const std::string& id, std::function<void()> end_call);
+  void reject_call(const std::string& id);
+  void finish(Process& process, const StartAttempt& attempt,
+              AttemptOutcome outcome, unsigned status);
   void perform(Process& process, const RoutingEffect& effect);
   Process& find(const std::string& vm);
   bool counts(const Process& process, const std::string& endpoint) const;
 
+  // An endpoint whose capacity is bounded.
+  struct BoundedEndpoint {
+    std::size_t running = 0;
+    std::deque<std::function<void()>> waiting;
+    std::deque<Millis> rejected_at;
+    Millis fails_until = 0;
+    // Calls that run end broken if it fails meanwhile.
+    std::uint64_t start = 1;
+  };
+
   Millis now_ = 1000;
+  std::optional<SimulatedCapacity> capacity_;
+  Millis service_time_ = 30;
+  std::map<std::string, BoundedEndpoint> bounded_;
+  std::size_t failures_ = 0;
   Millis started_at_ = 1000;
   std::optional<double> rate_;
   double cold_rate_;
