Calls to fragile endpoints are sent into slots that are handed out

Endpoints that say that they may reject few requests a second failed one after the other when demand exceeded what they take; callers got refused connections and broken answers in place of service.

Cause: nothing read that an endpoint is fragile, and nothing bounds plain calls: the endpoint with the lowest cost gets one also if all are full. The class: a bound of the whole fleet that no process knows or shares.

Now the coordinator of an endpoint's permits also keeps its slots. Routers hold a slot for each running call and each permit, and report what they hold with every request for permits, when a call ends and once a second; rejections withhold slots for a while. Engines are placed by memory as before: a fragile one gets nothing that would wait for a slot or memory, and nothing for a second from a router whose request it rejected.

--- a/src/libperidotreach/routing/endpoint_choice.cc
+++ b/src/libperidotreach/routing/endpoint_choice.cc
@@ -52,13 +52,13 @@
 constexpr Millis kInitialEjectionTime = kSecond;
 constexpr std::uint32_t kMaxEjectionDoublings = 3;
 
+// Upper limit for the projected share of a fragile engine's KV cache in use:
+// requests for which it has no memory wait there, and it lets few wait.
+constexpr double kMaxMemoryShareFragile = 0.9;
+
 // Assumed for endpoints that do not report their slots.
 constexpr double kDefaultSlots = 8;
 
-double slots_of(const EndpointState& endpoint) {
-  return endpoint.entry.slots == 0 ? kDefaultSlots : endpoint.entry.slots;
-}
-
 // Returns the usage of reservations at an endpoint that the peers' reports may
 // not include yet.
 EndpointUsage reserved_usage(const RoutingState& state,
@@ -182,11 +182,32 @@
   return static_cast<double>(mixed >> 11U) / static_cast<double>(1ULL << 53U);
 }
 
+// Returns whether a fragile engine runs a request of the criteria without
+// letting it wait for a slot or memory.
+bool runs_at_once(const EndpointState& endpoint, const EndpointUsage& reserved,
+                  const EngineSpec& engine, std::uint64_t tokens) {
+  const std::uint32_t running = endpoint.own_usage.running_requests +
+                                endpoint.peer_usage.running_requests +
+                                reserved.running_requests;
+  return running + 1 <= slots_of(endpoint) &&
+         memory_share(endpoint, reserved, engine, tokens) <=
+             kMaxMemoryShareFragile;
+}
+
 }  // namespace
 
+double slots_of(const EndpointState& endpoint) {
+  return endpoint.entry.slots == 0 ? kDefaultSlots : endpoint.entry.slots;
+}
+
+bool is_fragile(const ServiceSpec* service, const EndpointState& endpoint) {
+  const bool has_engines = service != nullptr && service->engine;
+  return endpoint.limit.rejection_limit && !has_engines;
+}
+
 bool needs_permit(const ServiceSpec* service, const EndpointState& endpoint,
                   Millis now) {
-  return endpoint.limit.requests_per_second ||
+  return endpoint.limit.requests_per_second || is_fragile(service, endpoint) ||
          cold_rate(service, endpoint, now).has_value();
 }
 
@@ -225,6 +246,10 @@
             max_share) {
       continue;
     }
+    if (engine != nullptr && endpoint.limit.rejection_limit &&
+        !runs_at_once(endpoint, reserved, *engine, criteria.projected_tokens)) {
+      continue;
+    }
     const std::uint64_t pending = pending_prefill(endpoint, reserved);
     if (engine != nullptr &&
         pending + criteria.prefill_tokens > criteria.max_prefill_tokens &&
--- a/src/libperidotreach/routing/endpoint_choice.h
+++ b/src/libperidotreach/routing/endpoint_choice.h
@@ -81,8 +81,16 @@
 std::vector<std::string> avoided_endpoints(const RoutingState& state,
                                            const std::string& service);
 
-// Returns whether requests to the endpoint need permits: it has a limit or may
-// be cold. `service` is its service, null if that is not configured.
+// Returns how many requests the endpoint runs at once.
+double slots_of(const EndpointState& endpoint);
+
+// Returns whether the rate of calls to the endpoint is bounded so that it has
+// none to reject. Requests for engines are placed by their memory instead.
+// `service` is its service, null if that is not configured.
+bool is_fragile(const ServiceSpec* service, const EndpointState& endpoint);
+
+// Returns whether requests to the endpoint need permits: it has a limit, is
+// fragile or may be cold.
 bool needs_permit(const ServiceSpec* service, const EndpointState& endpoint,
                   Millis now);
 
--- a/src/libperidotreach/routing/request_permits.h
+++ b/src/libperidotreach/routing/request_permits.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <optional>
 
+#include "libperidotreach/routing/fragile_endpoints.h"
 #include "libperidotreach/time.h"
 
 namespace peridotreach {
@@ -24,6 +25,9 @@
 // single second, so permits must not pile up.
 inline constexpr Millis kColdPermitLifetime = 200;
 
+// The same for the slot of a fragile endpoint, which others may need meanwhile.
+inline constexpr Millis kSlotPermitLifetime = 60;
+
 // Permits that one process requests at once at the most.
 inline constexpr std::uint32_t kMaxPermitsAtOnce = 8;
 
@@ -39,6 +43,8 @@
   Millis refilled_at = 0;
   // When the process that was last told to wait may request again.
   Millis last_slot_at = 0;
+  // The slots of a fragile endpoint.
+  SlotLedger slots;
 
   bool operator==(const PermitBucket&) const = default;
 };
@@ -99,6 +105,12 @@
   Millis requested_at = 0;
   // Until when there is no permit, as the coordinator said.
   Millis denied_until = 0;
+  // Requests that the endpoint has rejected and the coordinator was not told.
+  std::uint32_t rejections = 0;
+  // Slots of a fragile endpoint that the coordinator takes to be held by this
+  // process, and when it was last told.
+  std::uint32_t reported_slots = 0;
+  Millis slots_reported_at = 0;
 
   bool operator==(const EndpointPermits&) const = default;
 };
--- a/src/libperidotreach/routing/routed_requests.cc
+++ b/src/libperidotreach/routing/routed_requests.cc
@@ -32,6 +32,9 @@
 // that opens none says so at once, and is not asked again for a while.
 constexpr std::uint32_t kMaxTunnelFailures = 6;
 
+// How long a fragile engine that has rejected a request gets none.
+constexpr Millis kPauseAfterRejection = kSecond;
+
 // Remaining time below which another attempt is not worth sending.
 constexpr Millis kMinTimeLeft = 30;
 
@@ -372,11 +375,26 @@
   return AttemptOutcome::kBroken;
 }
 
+// A fragile endpoint gets less for a rejection: calls by their permits, and
+// engines nothing from this process for a while.
+void record_rejection(const RoutingContext& context, EndpointState& endpoint) {
+  if (!endpoint.limit.rejection_limit) return;
+  endpoint.permits.rejections += 1;
+  if (find_engine_spec(context.state, endpoint.entry.service) == nullptr)
+    return;
+  endpoint.declined_until = std::max(endpoint.declined_until,
+                                     context.state.now + kPauseAfterRejection);
+}
+
 void record_attempt_outcome(const RoutingContext& context,
                             const RequestState& request,
                             const AttemptEnded& event) {
   EndpointState* endpoint = find_endpoint(context, request.endpoint);
-  if (endpoint == nullptr || event.outcome == AttemptOutcome::kNotSent) return;
+  if (endpoint == nullptr) return;
+  // Its slot becomes free.
+  if (endpoint->limit.rejection_limit)
+    context.state.permits_wanted.insert(request.endpoint);
+  if (event.outcome == AttemptOutcome::kNotSent) return;
   if (event.outcome == AttemptOutcome::kMisdirected) {
     endpoint->listed = false;
     endpoint->leaving_since = context.state.now;
@@ -385,6 +403,16 @@
   if (event.outcome == AttemptOutcome::kBroken &&
       may_path_have_ended(context.state, request))
     return;
+  if (event.outcome == AttemptOutcome::kNotRun)
+    record_rejection(context, *endpoint);
+  const bool is_call_answered =
+      event.outcome == AttemptOutcome::kCompleteResponse &&
+      request.route.kind != CallKind::kStream;
+  if (is_call_answered) {
+    record_call_time(endpoint->call_time,
+                     context.state.now - request.attempt_started_at,
+                     context.state.now);
+  }
   const bool failed = event.outcome == AttemptOutcome::kBroken ||
                       event.status >= kFirstServerError;
   record_answer(*endpoint, failed, context.state.now);
--- a/src/libperidotreach/routing/routing_effect.h
+++ b/src/libperidotreach/routing/routing_effect.h
@@ -150,6 +150,11 @@
   std::uint32_t count = 0;
   EndpointLimit limit;
   Millis requested_at = 0;
+  // Requests that the endpoint has rejected since the last request for permits.
+  std::uint32_t rejections = 0;
+  // Slots of a fragile endpoint that the process holds. A request for no
+  // permits only reports them.
+  std::uint32_t held_slots = 0;
 };
 
 // Answers a process's request for permits.
--- a/src/libperidotreach/routing/routing_event.h
+++ b/src/libperidotreach/routing/routing_event.h
@@ -145,6 +145,9 @@
   // How long it wants no requests from this process after a rejection; 0 if it
   // does not say.
   Millis retry_after = 0;
+  // Requests a second that it may reject before it fails; none if it does not
+  // say.
+  std::optional<double> rejection_limit;
 
   bool operator==(const EndpointNotice&) const = default;
 };
@@ -273,6 +276,12 @@
   Millis requested_at = 0;
   // The part of the fleet with which this process is in contact, from 0 to 1.
   double live_share = 1;
+  // Requests of the process that the endpoint has rejected since it last
+  // requested permits.
+  std::uint32_t rejections = 0;
+  // Slots of a fragile endpoint that the process holds. A request for no
+  // permits only reports them.
+  std::uint32_t held_slots = 0;
 };
 
 // The coordinator's answer to a request for permits.
--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -459,6 +459,7 @@
   open_lost_zones(context);
   probe_endpoint_path(context);
   expire_permits(context);
+  report_held_slots(context);
   adjust_paces(context);
   compare_new_speeds(state);
   place_queued_requests(context);
--- a/src/libperidotreach/routing/routing_state.h
+++ b/src/libperidotreach/routing/routing_state.h
@@ -73,6 +73,7 @@
   EndpointLimit own_limit;
   Millis limit_ended_at = 0;
   EndpointPermits permits;
+  CallTime call_time;
   // What this process measured, the newest of each measurement that is known
   // since the endpoint's start, and what was measured at the same time last.
   SpeedSamples event_group_samples;
--- a/src/libperidotreach/routing/routing_steps.h
+++ b/src/libperidotreach/routing/routing_steps.h
@@ -210,6 +210,9 @@
                          const PermitsAnswered& event);
 // Requests the permits for which requests wait.
 void request_wanted_permits(const RoutingContext& context);
+// Has the slots of fragile endpoints reported that this process holds, where
+// their coordinators may take it to hold more or will forget them.
+void report_held_slots(const RoutingContext& context);
 // Gives up permit requests that are not answered and removes unused buckets.
 void expire_permits(const RoutingContext& context);
 
--- a/src/peridot-router/coordination.cc
+++ b/src/peridot-router/coordination.cc
@@ -234,13 +234,16 @@
   if (coordinator == link_.self().vm) {
     handlers_.on_permits_requested(
         {link_.self().vm, effect.endpoint, effect.count, effect.limit,
-         effect.requested_at, live_share(link_.view(), now)});
+         effect.requested_at, live_share(link_.view(), now), effect.rejections,
+         effect.held_slots});
     return;
   }
   proto::Envelope message = link_.make_envelope();
   proto::PermitMessage& request = *message.mutable_permits();
   request.set_count(effect.count);
   request.set_requested_at_ms(static_cast<std::uint64_t>(effect.requested_at));
+  request.set_rejections(effect.rejections);
+  request.set_held_slots(effect.held_slots);
   encode_limit({effect.endpoint, effect.limit}, now, *request.mutable_limit());
   link_.send_to(coordinator, message, now);
 }
@@ -276,7 +279,8 @@
   ObservedLimit known = decode_limit(permits.limit(), now);
   handlers_.on_permits_requested({vm, std::move(known.endpoint),
                                   permits.count(), known.limit, requested_at,
-                                  live_share(link_.view(), now)});
+                                  live_share(link_.view(), now),
+                                  permits.rejections(), permits.held_slots()});
 }
 
 }  // namespace peridotreach
--- a/tests/platform/decoders_test.cc
+++ b/tests/platform/decoders_test.cc
@@ -336,6 +336,14 @@
     return format.decode_response_head({{"Retry-After", text}})
         .notice.retry_after;
   };
+  const auto rejection_limit = [&](const std::string& text) {
+    return format.decode_response_head({{"Server-Brittle", text}})
+        .notice.rejection_limit;
+  };
+  CHECK(rejection_limit("3") == 3.0);
+  CHECK(rejection_limit("0") == 0.0);
+  for (const char* invalid : {"", "-1", "x", "nan", "3,4"})
+    CHECK_FALSE(rejection_limit(invalid));
   CHECK(retry_after("2") == 2000);
   CHECK(retry_after("0.25") == 250);
   CHECK(retry_after("1e6") == 60000);
--- a/tests/routing/limit_simulation.cc
+++ b/tests/routing/limit_simulation.cc
@@ -54,6 +54,7 @@
   EndpointEntry entry =
       sample_endpoint("p" + std::to_string(endpoint), "plain");
   entry.sequence = static_cast<std::uint64_t>(now_);
+  if (capacity_) entry.slots = static_cast<std::uint32_t>(capacity_->slots);
   entry.remaining_warm_up = std::max<Millis>(0, cold_until_[endpoint] - now_);
   apply(process, EndpointListed{entry});
 }
@@ -131,8 +132,10 @@
   const std::string name =
       copy_lease_coordinator(process.view, process.vm, effect.endpoint, now_);
   Process& receiver = find(name);
-  const PermitsRequested request{process.vm, effect.endpoint, effect.count,
-                                 effect.limit, effect.requested_at};
+  const PermitsRequested request{process.vm,          effect.endpoint,
+                                 effect.count,        effect.limit,
+                                 effect.requested_at, 1,
+                                 effect.rejections,   effect.held_slots};
   const auto handle = [this, &receiver, request] {
     PermitsRequested received = request;
     received.live_share = live_share(receiver.view, now_);
@@ -241,6 +244,9 @@
     process.told_at.try_emplace(attempt.endpoint, now_);
     EndpointNotice notice;
     notice.requests_per_second = rate_;
+    if (capacity_) {
+      notice.rejection_limit = static_cast<double>(capacity_->max_rejections);
+    }
     apply(process, EndpointAnswered{attempt.endpoint, notice});
   }
   apply(process,
@@ -251,6 +257,9 @@
                                      Millis service_time) {
   capacity_ = capacity;
   service_time_ = service_time;
+  for (Process& process : processes_) {
+    for (std::size_t i = 0; i < endpoints_; ++i) list(process, i);
+  }
 }
 
 void LimitSimulation::perform(Process& process, const RoutingEffect& effect) {
