A shorter pause no longer ends a longer one early

An endpoint that had asked for a pause got requests again before it was over if it rejected an earlier request with a shorter Retry-After meanwhile.

Cause: the newest answer replaced the time until which nothing is sent, though answers to earlier requests arrive in any order.

Now the later of both times counts.

--- a/src/libperidotreach/routing/limited_endpoints.cc
+++ b/src/libperidotreach/routing/limited_endpoints.cc
@@ -198,7 +198,9 @@
   observe_limit(context, *endpoint, endpoint->own_limit,
                 context.state.config.vm);
   if (event.notice.retry_after == 0) return;
-  endpoint->declined_until = context.state.now + event.notice.retry_after;
+  // Answers to earlier requests may name shorter pauses.
+  endpoint->declined_until = std::max(
+      endpoint->declined_until, context.state.now + event.notice.retry_after);
   record_decision(
       context, "endpoint_declines", 0,
       {{"endpoint", event.endpoint},
--- a/tests/routing/endpoint_limits_test.cc
+++ b/tests/routing/endpoint_limits_test.cc
@@ -237,6 +237,20 @@
   CHECK(router.last_attempt(request).endpoint == "p2");
 }
 
+TEST_CASE("a later rejection with a shorter pause ends the longer one early",
+          "[limits]") {
+  RouterHarness router;
+  router.apply(EndpointAnswered{"p1", {std::nullopt, false, 3000}});
+  router.now += 100;
+  router.apply(EndpointAnswered{"p1", {std::nullopt, false, 500}});
+  router.apply(EndpointAnswered{"p1", {}});
+  for (int i = 0; i < 20; ++i) {
+    router.advance(100);
+    const auto request = router.send_request("/entry/1");
+    CHECK(router.last_attempt(request).endpoint == "p2");
+  }
+}
+
 TEST_CASE("a placement coordinator is asked for endpoints that do not decline",
           "[limits]") {
   RouterHarness router;
