Moves do not go to engines that have asked for a pause

A generation that left an engine could be copied to, and resumed at, one that had asked this VM for a pause after the target was requested.

Cause: the target was checked for leaving and closed zones only.

Now such a target is not used, and a generation that was stopped already goes on at its source if that is still listed. If not, it goes to the target, as it would be lost otherwise. Two of three cases of the test fail without this.

--- a/src/libperidotreach/routing/generation_moves.cc
+++ b/src/libperidotreach/routing/generation_moves.cc
@@ -172,17 +172,23 @@
 }
 
 // Returns where a generation that `source` stopped goes on: at the target of
-// its move, or at the source if the target's zone was closed meanwhile. Empty
-// if neither may get it.
+// its move, or at the source if the target's zone was closed meanwhile, or the
+// target asked for a pause and the source is still there. Empty if neither may
+// get it.
 std::string endpoint_to_resume_at(const RoutingState& state,
                                   const std::string& source,
                                   const std::string& target) {
-  for (const std::string& id : {target, source}) {
+  const auto is_allowed = [&](const std::string& id) {
     const auto found = state.endpoints.find(id);
-    if (found == state.endpoints.end()) continue;
-    if (may_continue_generations(found->second, state.now)) return id;
-  }
-  return "";
+    return found != state.endpoints.end() &&
+           may_continue_generations(found->second, state.now);
+  };
+  if (!is_allowed(target)) return is_allowed(source) ? source : "";
+  const bool has_declined =
+      state.endpoints.at(target).declined_until > state.now;
+  const bool uses_source =
+      has_declined && is_allowed(source) && state.endpoints.at(source).listed;
+  return uses_source ? source : target;
 }
 
 // Counts a resumed generation at an endpoint that may be cold, unless the
@@ -335,7 +341,8 @@
                       const std::string& target) {
   const EndpointState* endpoint = find_endpoint(context, target);
   const bool is_usable = endpoint != nullptr && endpoint->leaving_since == 0 &&
-                         endpoint->zone_closed_since == 0;
+                         endpoint->zone_closed_since == 0 &&
+                         endpoint->declined_until <= context.state.now;
   if (!is_usable) {
     postpone_move(context, request_number, request);
     return;
--- a/tests/routing/moves_test.cc
+++ b/tests/routing/moves_test.cc
@@ -266,6 +266,39 @@
   CHECK_FALSE(place(2, requirements).empty());
 }
 
+TEST_CASE("a generation moves to an engine that has asked for a pause",
+          "[moves]") {
+  RouterHarness router;
+  const auto request = running_stream(router, 10);
+  const std::string source = router.last_attempt(request).endpoint;
+  announce_leaving(router, source);
+  router.apply(CopyLeaseGranted{request, source});
+  const std::string target = source == "e1" ? "e2" : "e1";
+  const EndpointNotice pause{std::nullopt, false, 5000};
+  SECTION("the pause came before the target was chosen") {
+    router.apply(EndpointAnswered{target, pause});
+    CHECK(effects_of<CopyGeneration>(
+              router.apply(PlacementAnswered{request, target, 0}))
+              .empty());
+  }
+  SECTION("the pause came while the generation was copied") {
+    router.apply(PlacementAnswered{request, target, 0});
+    router.apply(copy_finished(request, 11));
+    router.apply(EndpointAnswered{target, pause});
+    router.apply(copy_finished(request, 9));
+    CHECK(router.last_attempt(request).attempt == 2);
+    CHECK(router.last_attempt(request).endpoint == source);
+  }
+  SECTION("the source is gone, so that the generation would be lost") {
+    router.apply(PlacementAnswered{request, target, 0});
+    router.apply(copy_finished(request, 11));
+    router.apply(EndpointAnswered{target, pause});
+    router.apply(EndpointUnlisted{source});
+    router.apply(copy_finished(request, 9));
+    CHECK(router.last_attempt(request).endpoint == target);
+  }
+}
+
 TEST_CASE("each move of a generation is charged once, not each attempt",
           "[moves]") {
   RouterHarness router;
