Endpoints that said that they leave are remembered while they may serve

An endpoint that had said that it leaves got new requests again if its entry was removed and came back 30 s later, with the endpoint still serving.

Cause: the state of an unlisted endpoint without requests is dropped after 30 s, and with it what the endpoint had said; generations alone may run for 39 s. The class: a state is forgotten before what it describes is over.

Now it is kept for 90 s.

--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -10,8 +10,10 @@
 namespace peridotreach {
 namespace {
 
-// How long the state of an unlisted and unused endpoint is kept.
+// How long the state of an unlisted and unused endpoint is kept, and that of one
+// that said that it leaves: it may go on serving, and its entry may return.
 constexpr Millis kEndpointRetention = 30 * kSecond;
+constexpr Millis kLeavingEndpointRetention = 90 * kSecond;
 
 // Time after a recovery of the store in which expired entries are registered
 // again: the two seconds that the platform specifies, less the delay until the
@@ -475,8 +477,11 @@
   });
   std::erase_if(state.endpoints, [&](const auto& entry) {
     const EndpointState& endpoint = entry.second;
+    const Millis retention = endpoint.announced_leaving
+                                 ? kLeavingEndpointRetention
+                                 : kEndpointRetention;
     return !endpoint.listed && endpoint.own_usage.running_requests == 0 &&
-           state.now - endpoint.leaving_since > kEndpointRetention;
+           state.now - endpoint.leaving_since > retention;
   });
 }
 
--- a/tests/routing/store_recovery_test.cc
+++ b/tests/routing/store_recovery_test.cc
@@ -203,6 +203,23 @@
   CHECK(is_available(router, "p1"));
 }
 
+TEST_CASE("an endpoint that leaves is forgotten before it is gone",
+          "[routing]") {
+  RouterHarness router;
+  router.apply(EndpointListed{entry_at("p1", 7, "plain")});
+  router.apply(EndpointAnswered{"p1", {std::nullopt, true}});
+  router.apply(EndpointUnlisted{"p1"});
+  // Generations may run for 39 s on an endpoint that leaves.
+  for (Millis waited = 0; waited < 60 * kSecond; waited += kSecond)
+    router.advance(kSecond);
+  router.apply(EndpointListed{entry_at("p1", 8, "plain")});
+  CHECK_FALSE(is_available(router, "p1"));
+  for (int i = 0; i < 20; ++i) {
+    const auto request = router.send_request("/entry/1");
+    CHECK(router.last_attempt(request).endpoint == "p2");
+  }
+}
+
 TEST_CASE("a generation does not move to an endpoint that leaves",
           "[routing]") {
   RouterHarness router;
