Answers with a status that HTTP does not know are not passed on

Callers got statuses such as 001, 099 or 199 as answers when an endpoint in trouble sent them with its stamp, and its notices were believed: one answer 042 with Retry-After took the endpoint out of use.

Checked for status 000: callers got 502 already, as 0 stands for a response that could not be read. All other statuses outside of 200 to 599 passed: the router checked the stamp and not the status.

Now such an answer counts as broken, directly and through tunnels.

--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -30,6 +30,10 @@
 
 bool is_success(unsigned status) { return status >= 200 && status < 300; }
 
+// Returns whether the status is one with which HTTP ends an exchange. 0 stands
+// for a response that could not be read.
+bool is_final(unsigned status) { return status >= 200 && status < 600; }
+
 AttemptEnded make_ended(const EndpointAttempt& attempt, AttemptOutcome outcome,
                         unsigned status = 0) {
   return {attempt.params.request, attempt.params.attempt, outcome, status};
@@ -155,7 +159,8 @@
       co_await connection.send(std::move(request), params.time_left);
   exchange.end_sending();
   const unsigned status = co_await connection.read_head(kReadTimeout);
-  if (status == 0) co_return make_ended(attempt, AttemptOutcome::kBroken);
+  if (!is_final(status))
+    co_return make_ended(attempt, AttemptOutcome::kBroken, status);
   const std::vector<HttpHeader> headers = connection.headers();
   const ResponseInfo info = format.decode_response_head(headers);
   const AttemptOutcome head_outcome =
@@ -182,7 +187,8 @@
                                               unsigned status) {
   const bool is_own =
       info.not_run || (info.has_stamp && !info.has_content_encoding);
-  if (!is_own || status == kMisdirectedStatus) return std::nullopt;
+  if (!is_own || !is_final(status) || status == kMisdirectedStatus)
+    return std::nullopt;
   EndpointNotice notice = info.notice;
   if (status != kUnavailableStatus) notice.retry_after = 0;
   return notice;
