--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -64,6 +64,7 @@
         self.ports = {name: free_port(self.host) for name in
                       ("front", "readiness", "control", "directory")}
         self.listen = {n: f"{self.host}:{p}" for n, p in self.ports.items()}
+        self.tunnel_port = free_port(self.host)
         self.store = store
         self.path = os.path.join(folder, self.name + ".json")
         self.log = os.path.join(folder, self.name + ".log")
@@ -77,6 +78,7 @@
             json.dump({
                 "node": self.name, "zone": ZONES[self.index % 3],
                 "region": "r", "seeds": seeds, "listen": self.listen,
+                "port_range": [self.tunnel_port, self.tunnel_port],
                 "bounds": {"retry_ratio": 0.2, "retry_slack": 60,
                            "retry_window_s": 10, "grace_s": GRACE_S},
                 "provider": {"address": self.store, "ttl_min_ms": 1000},
