What engines say in answers to control calls is heeded

An engine that named its leaving only in the head of an answer to a control call, such as a report while the store was away, went on getting new requests.

Now the heads of all control answers are read. leaving_in_report_test.py fails without this: a request sent 2 s after the answer reached the engine and got 200. It gets 503 now.

--- a/src/libperidotreach/routing/routing_reducer.cc
+++ b/src/libperidotreach/routing/routing_reducer.cc
@@ -10,8 +10,8 @@
 namespace peridotreach {
 namespace {
 
-// How long the state of an unlisted and unused endpoint is kept, and that of one
-// that said that it leaves: it may go on serving, and its entry may return.
+// How long the state of an unlisted and unused endpoint is kept, and that of
+// one that said that it leaves: it may go on serving, and its entry may return.
 constexpr Millis kEndpointRetention = 30 * kSecond;
 constexpr Millis kLeavingEndpointRetention = 90 * kSecond;
 
--- a/src/peridot-router/router_node.cc
+++ b/src/peridot-router/router_node.cc
@@ -264,8 +264,7 @@
          {"state_says_leaving", answer.says_leaving ? "true" : "false"}});
   }
   if (result != PollResult::kLeaves) co_return;
-  peers_.announce_endpoint_leaving(id, monotonic_now());
-  post(EndpointLeaving{id});
+  on_endpoint_leaving(id);
 }
 
 void RouterNode::notify_peers(Millis now) {
--- a/src/peridot-router/router_node.h
+++ b/src/peridot-router/router_node.h
@@ -182,8 +182,15 @@
              const std::string& held, const std::string* incoming);
   void on_item_changed(const std::string& table, const std::string& key,
                        const std::string* value, const std::string& source);
+  // Returns the id of the endpoint at an address, empty if none is listed.
+  std::string endpoint_at(const HttpTarget& target) const;
+  awaitable<bool> connect_for_call(HttpConnection& connection,
+                                   HttpTarget target, std::string endpoint,
+                                   Millis timeout);
+  // Records that an endpoint said that it leaves, and tells peers.
+  void on_endpoint_leaving(const std::string& endpoint);
   // Sends a control call to the endpoint at an address, through a peer while
-  // this process reaches no endpoint.
+  // this process reaches no endpoint. Heeds what the head of the answer says.
   awaitable<ClientResponse> call_endpoint(HttpTarget target,
                                           ClientRequest request,
                                           Millis timeout);
--- a/src/peridot-router/router_tunnels.cc
+++ b/src/peridot-router/router_tunnels.cc
@@ -50,30 +50,56 @@
           }};
 }
 
-awaitable<ClientResponse> RouterNode::call_endpoint(HttpTarget target,
-                                                    ClientRequest request,
-                                                    Millis timeout) {
-  const auto peer = sends_through_peers(state_) ? choose_tunnel_peer()
-                                                : std::optional<PeerRecord>();
-  const auto endpoint = std::find_if(
+std::string RouterNode::endpoint_at(const HttpTarget& target) const {
+  const auto found = std::find_if(
       state_.endpoints.begin(), state_.endpoints.end(), [&](const auto& entry) {
-        const EndpointEntry& listed = entry.second.entry;
-        return listed.address == target.address && listed.port == target.port;
+        const EndpointEntry& known = entry.second.entry;
+        return entry.second.listed && known.address == target.address &&
+               known.port == target.port;
       });
-  if (!peer || endpoint == state_.endpoints.end()) {
-    co_return co_await fetch_response(io_, target, std::move(request), timeout,
-                                      kMaxControlBytes);
-  }
+  return found == state_.endpoints.end() ? "" : found->first;
+}
+
+awaitable<bool> RouterNode::connect_for_call(HttpConnection& connection,
+                                             HttpTarget target,
+                                             std::string endpoint,
+                                             Millis timeout) {
+  const auto peer = sends_through_peers(state_) && !endpoint.empty()
+                        ? choose_tunnel_peer()
+                        : std::optional<PeerRecord>();
+  if (!peer) co_return co_await connection.connect(target, timeout);
   // Control calls concern what an endpoint runs or holds already.
-  HttpConnection connection(io_);
-  const TunnelRequest tunnel{endpoint->first, true};
+  const TunnelRequest tunnel{std::move(endpoint), true};
   const HttpTarget tunnel_peer = tunnel_target(*peer);
   const TunnelResult result =
       co_await open_tunnel(connection, tunnel_peer, tunnel);
-  if (!result.is_open) co_return ClientResponse();
+  co_return result.is_open;
+}
+
+awaitable<ClientResponse> RouterNode::call_endpoint(HttpTarget target,
+                                                    ClientRequest request,
+                                                    Millis timeout) {
+  const std::string endpoint = endpoint_at(target);
+  HttpConnection connection(io_);
+  if (!co_await connect_for_call(connection, target, endpoint, timeout))
+    co_return ClientResponse();
   request.host = format_host_port(target);
-  co_return co_await fetch_on(connection, std::move(request), timeout,
-                              kMaxControlBytes);
+  ClientResponse response = co_await fetch_on(connection, std::move(request),
+                                              timeout, kMaxControlBytes);
+  if (!response.complete) co_return response;
+  const std::vector<HttpHeader> headers = connection.headers();
+  if (wire_format_.decode_response_head(headers).notice.is_leaving)
+    on_endpoint_leaving(endpoint);
+  co_return response;
+}
+
+void RouterNode::on_endpoint_leaving(const std::string& endpoint) {
+  const auto found = state_.endpoints.find(endpoint);
+  const bool is_news =
+      found != state_.endpoints.end() && !found->second.announced_leaving;
+  if (!is_news) return;
+  peers_.announce_endpoint_leaving(endpoint, monotonic_now());
+  post(EndpointLeaving{endpoint});
 }
 
 void RouterNode::choose_tunnel_peer(EndpointAttempt& attempt) {
