Probes of a lost path leave out endpoints that have failed

A router that took failures of several endpoints for the loss of its path sent requests through peers until a probe of a random endpoint succeeded, which may have been a failed one. Three others are probed now. Permits of engines that name a rate live as long as before, whatever else the engines say.

--- a/src/libperidotreach/routing/fragile_endpoints.cc
+++ b/src/libperidotreach/routing/fragile_endpoints.cc
@@ -34,7 +34,7 @@
 // part of a split fleet is larger.
 constexpr double kMajority = 0.5;
 
-constexpr Millis kMinTurn = 2;
+constexpr Millis kMinRetryInterval = 2;
 constexpr Millis kMaxWait = 500;
 
 std::uint32_t held_slots(const SlotLedger& ledger, Millis now) {
@@ -102,14 +102,14 @@
 
 Millis wait_for_slot(SlotLedger& ledger, double slots, double call_ms,
                      Millis now) {
-  const auto turn =
-      std::max(kMinTurn, static_cast<Millis>(call_ms / std::max(1.0, slots)));
+  const auto interval = std::max(
+      kMinRetryInterval, static_cast<Millis>(call_ms / std::max(1.0, slots)));
   // Within the duration of a call, all slots become free.
   const Millis longest =
-      std::clamp(static_cast<Millis>(call_ms), turn, kMaxWait);
-  ledger.last_turn_at =
-      std::clamp(ledger.last_turn_at + turn, now + turn, now + longest);
-  return ledger.last_turn_at - now;
+      std::clamp(static_cast<Millis>(call_ms), interval, kMaxWait);
+  ledger.last_retry_at = std::clamp(ledger.last_retry_at + interval,
+                                    now + interval, now + longest);
+  return ledger.last_retry_at - now;
 }
 
 }  // namespace peridotreach
--- a/src/libperidotreach/routing/fragile_endpoints.h
+++ b/src/libperidotreach/routing/fragile_endpoints.h
@@ -49,7 +49,7 @@
   Millis updated_at = 0;
   Millis reduced_at = 0;
   // When the process that was last told to wait may ask again.
-  Millis last_turn_at = 0;
+  Millis last_retry_at = 0;
 
   bool operator==(const SlotLedger&) const = default;
 };
--- a/src/libperidotreach/routing/limited_endpoints.cc
+++ b/src/libperidotreach/routing/limited_endpoints.cc
@@ -252,7 +252,8 @@
 
 Millis permit_lifetime(const RoutingState& state,
                        const EndpointState& endpoint) {
-  if (endpoint.limit.rejection_limit) return kSlotPermitLifetime;
+  const ServiceSpec* service = find_service(state, endpoint.entry.service);
+  if (is_fragile(service, endpoint)) return kSlotPermitLifetime;
   return cold_rate(state, endpoint) ? kColdPermitLifetime : kPermitLifetime;
 }
 
--- a/src/libperidotreach/routing/unreached_endpoints.cc
+++ b/src/libperidotreach/routing/unreached_endpoints.cc
@@ -1,6 +1,7 @@
 // Failed connections to endpoints: whether the endpoints fail, or this process
 // has lost the path to all of them (endpoint_path.h).
 
+#include <algorithm>
 #include <vector>
 
 #include "libperidotreach/routing/endpoint_choice.h"
@@ -9,6 +10,9 @@
 namespace peridotreach {
 namespace {
 
+// Endpoints that a probe of the path connects to: some may have failed.
+constexpr std::size_t kEndpointsToProbe = 3;
+
 std::vector<const EndpointState*> listed_endpoints(const RoutingState& state) {
   std::vector<const EndpointState*> listed;
   for (const auto& [id, endpoint] : state.endpoints) {
@@ -77,10 +81,19 @@
 
 void probe_endpoint_path(const RoutingContext& context) {
   RoutingState& state = context.state;
-  const std::vector<const EndpointState*> listed = listed_endpoints(state);
-  if (listed.empty() || !take_due_probe(state.endpoint_path, state.now)) return;
-  const EndpointEntry& entry = listed[state.random % listed.size()]->entry;
-  context.effects.push_back(ProbeEndpointPath{entry.address, entry.port});
+  if (!take_due_probe(state.endpoint_path, state.now)) return;
+  std::vector<const EndpointState*> listed = listed_endpoints(state);
+  // Those that failed may have failed themselves.
+  std::erase_if(listed, [&](const EndpointState* endpoint) {
+    return state.endpoint_path.unreached.contains(endpoint->entry.id);
+  });
+  if (listed.empty()) listed = listed_endpoints(state);
+  const std::size_t probes = std::min(kEndpointsToProbe, listed.size());
+  for (std::size_t i = 0; i < probes; ++i) {
+    const EndpointEntry& entry =
+        listed[(state.random + i) % listed.size()]->entry;
+    context.effects.push_back(ProbeEndpointPath{entry.address, entry.port});
+  }
 }
 
 }  // namespace peridotreach
