--- a/src/libperidotreach/routing/fragile_endpoints.h
+++ b/src/libperidotreach/routing/fragile_endpoints.h
@@ -48,7 +48,7 @@
   Millis started_at = 0;
   Millis updated_at = 0;
   Millis reduced_at = 0;
-  // When the process that was last told to wait may ask again.
+  // When the process that was last denied a slot may ask again.
   Millis last_retry_at = 0;
 
   bool operator==(const SlotLedger&) const = default;
--- a/src/libperidotreach/routing/request_permits.h
+++ b/src/libperidotreach/routing/request_permits.h
@@ -105,10 +105,10 @@
   Millis requested_at = 0;
   // Until when there is no permit, as the coordinator said.
   Millis denied_until = 0;
-  // Requests that the endpoint has rejected and the coordinator was not told.
+  // Requests that the endpoint has rejected since the last report.
   std::uint32_t rejections = 0;
   // Slots of a fragile endpoint that the coordinator takes to be held by this
-  // process, and when it was last told.
+  // process, and when that was last reported.
   std::uint32_t reported_slots = 0;
   Millis slots_reported_at = 0;
 
