A caller that leaves does not make a peer unavailable for tunnels

A connection that is closed for a caller that left, while a tunnel is being opened, looked like a peer that opens none. Found by reading; nothing showed it.

--- a/src/peridot-router/endpoint_attempt.cc
+++ b/src/peridot-router/endpoint_attempt.cc
@@ -139,7 +139,7 @@
   ended.declined_for = result.declined_for;
   const bool is_refused =
       !result.is_open && result.failure == ConnectFailure::kNoTunnel;
-  if (is_refused) attempt.on_no_tunnel();
+  if (is_refused && !attempt.cancelled) attempt.on_no_tunnel();
   co_return result.is_open;
 }
 
